platform: run on the operator platform through an adapter

The daemon gets two roles: entry VMs serve raw requests of routes, control VMs keep the configuration and take the announcements of endpoints. The first group follows from the joined addresses alone. Pieces of stages are made in batches by one VM a service, over the requests of all VMs.

--- a/control/announce.go
+++ b/control/announce.go
@@ -79,7 +79,7 @@
 		if err != nil {
 			continue
 		}
-		reply.Endpoints = append(reply.Endpoints, &link.Endpoint{Announcement: data, LeaseLeftMs: left.Milliseconds(), TokenSha256: e.TokenSHA256})
+		reply.Endpoints = append(reply.Endpoints, &link.Endpoint{Announcement: data, LeaseLeftMs: left.Milliseconds(), TokenSha256: e.TokenSHA256, Open: e.Open})
 	}
 }
 
@@ -91,7 +91,7 @@
 func (c *Control) takeRelayed(asked time.Time, relayed []*link.Endpoint) {
 	now := c.Clock.Now()
 	for _, r := range relayed {
-		e := endpoint.Entry{TokenSHA256: r.TokenSha256, Source: endpoint.Relayed}
+		e := endpoint.Entry{TokenSHA256: r.TokenSha256, Source: endpoint.Relayed, Open: r.Open}
 		if json.Unmarshal(r.Announcement, &e.Announcement) != nil {
 			continue
 		}
--- a/control/control.go
+++ b/control/control.go
@@ -44,6 +44,10 @@
 	Join []netip.AddrPort
 	// Discover links also to VMs that others mention.
 	Discover bool
+	// Bootstrap makes the first group of the VMs in Join, if this VM is one of them and its folder is empty.
+	Bootstrap bool
+	// SpareAfter is how long a voter's VM is silent before another VM takes its place.
+	SpareAfter time.Duration
 	// Folder is nil on a VM without a disk.
 	Folder *disk.Folder
 	Clock  timer.Clock
@@ -51,13 +55,17 @@
 	Limiter *workspace.Limiter
 	// Tally has what this VM's requests use.
 	Tally *spend.Tally
-	Log   event.Logger
+	// Pieces makes pieces for other VMs; nil on a VM that takes no callers' requests.
+	Pieces PieceServer
+	Log    event.Logger
 
 	calls  chan func()
 	done   chan struct{}
 	view   atomic.Pointer[View]
 	group  sync.WaitGroup
 	cancel context.CancelFunc
+	// running ends with Run.
+	running context.Context
 
 	start       time.Time
 	stopping    bool
@@ -101,13 +109,20 @@
 	if err := c.openDocument(); err != nil {
 		return err
 	}
-	return c.openReplica()
+	if c.SpareAfter == 0 {
+		c.SpareAfter = DefaultSpareAfter
+	}
+	if err := c.openReplica(); err != nil {
+		return err
+	}
+	return c.bootstrap()
 }
 
 // Run serves until ctx ends or the disk fails.
 func (c *Control) Run(ctx context.Context) error {
 	ctx, c.cancel = context.WithCancel(ctx)
 	defer c.cancel()
+	c.running = ctx
 	for _, addr := range c.Join {
 		c.addPeer(ctx, addr, true)
 	}
--- a/control/peer.go
+++ b/control/peer.go
@@ -196,6 +196,9 @@
 	for _, v := range r.Others {
 		if v.Name != c.Name {
 			c.hear(now, v, asked.Add(-time.Duration(v.AgeMs)*time.Millisecond))
+		} else if v.Incarnation > c.Incarnation {
+			// The clock went back between two starts; the others would ignore this one as the older.
+			c.Incarnation = v.Incarnation + 1
 		}
 	}
 	c.takeRelayed(asked, r.Endpoints)
--- /dev/null
+++ b/control/pieces.go
@@ -0,0 +1,46 @@
+package control
+
+import (
+	"context"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"godwitplank/link"
+)
+
+// PieceServer makes pieces of stages for other VMs.
+type PieceServer interface {
+	RunPieces(ctx context.Context, r *link.RunPiecesRequest) (*link.RunPiecesReply, error)
+	FreePieces(ctx context.Context, r *link.FreePiecesRequest) (*link.FreePiecesReply, error)
+}
+
+// RunPieces makes pieces for another VM.
+func (c *Control) RunPieces(ctx context.Context, r *link.RunPiecesRequest) (*link.RunPiecesReply, error) {
+	if c.Pieces == nil {
+		return nil, status.Error(codes.Unimplemented, "this VM makes no pieces; ask a VM that takes callers' requests")
+	}
+	return c.Pieces.RunPieces(ctx, r)
+}
+
+// FreePieces gives results back for another VM.
+func (c *Control) FreePieces(ctx context.Context, r *link.FreePiecesRequest) (*link.FreePiecesReply, error) {
+	if c.Pieces == nil {
+		return nil, status.Error(codes.Unimplemented, "this VM makes no pieces; ask a VM that takes callers' requests")
+	}
+	return c.Pieces.FreePieces(ctx, r)
+}
+
+// Link returns a client of a VM, nil if the VM is not known.
+func (c *Control) Link(ctx context.Context, vm string) link.LinkClient {
+	var p *peer
+	if c.do(ctx, func() { p = c.peerOf(vm) }) != nil || p == nil {
+		return nil
+	}
+	return p.client()
+}
+
+// Makers returns the VMs that are alive and take callers' requests.
+func (c *Control) Makers() []string {
+	return c.View().Entries
+}
--- a/control/repair.go
+++ b/control/repair.go
@@ -7,9 +7,9 @@
 	"godwitplank/raft"
 )
 
-// spareAfter is how long a voter's VM must be silent before another VM takes its place. A VM that
+// DefaultSpareAfter is how long a voter's VM must be silent before another VM takes its place. A VM that
 // returns with an empty data folder is taken back at once.
-const spareAfter = 60 * time.Second
+const DefaultSpareAfter = 60 * time.Second
 
 // repair makes one step towards a group without lost voters.
 func (c *Control) repair(now time.Time) {
@@ -38,7 +38,7 @@
 			s.Alive[r.Id] = v.Alive(now) && v.ReplicaID == r.Id
 			heard = v.Heard
 		}
-		s.Silent[r.Id] = now.Sub(heard) > spareAfter && now.Sub(c.start) > spareAfter
+		s.Silent[r.Id] = now.Sub(heard) > c.SpareAfter && now.Sub(c.start) > c.SpareAfter
 	}
 	for _, v := range c.vms.Entries() {
 		if v.ReplicaID != "" && !v.Stopping && v.Alive(now) {
--- /dev/null
+++ b/control/submit.go
@@ -0,0 +1,34 @@
+package control
+
+import (
+	"context"
+
+	"godwitplank/document"
+	"godwitplank/fault"
+	"godwitplank/state"
+)
+
+// SubmitHighest has a checked document accepted if its version is above the current one. A document that a higher
+// version has replaced is accepted without effect; other content under the current version is a conflict.
+// Source is the document in the operator's own format.
+func (c *Control) SubmitHighest(ctx context.Context, d *document.Document, source []byte) error {
+	canonical, digest := d.Canonical()
+	result, err := c.ChangeDocument(ctx, &state.DocumentChange{
+		Version: d.Version, Canonical: canonical, Digest: digest, Highest: true, Source: source,
+	})
+	if err != nil {
+		return err
+	}
+	if !result.Accepted {
+		e := fault.New(fault.VersionConflict, "version %d is in force with other content; read it and submit a higher version", d.Version)
+		e.Version = result.Version
+		return e
+	}
+	return nil
+}
+
+// ReadDocument returns the newest document that a majority has accepted, nil if there is none yet.
+func (c *Control) ReadDocument(ctx context.Context) (*state.DocumentChange, error) {
+	result, err := c.propose(ctx, &state.Command{Change: &state.Command_Read{Read: &state.DocumentRead{}}})
+	return result.GetCurrent(), err
+}
--- a/control/view.go
+++ b/control/view.go
@@ -35,6 +35,8 @@
 	// Ready is true once the VM has a document and has heard the others.
 	Ready bool
 	At    time.Time
+	// Entries names the VMs that take callers' requests and are alive, in order; this VM is among them if it does.
+	Entries []string
 
 	alive int // VMs that are alive, this one among them
 }
@@ -64,6 +66,7 @@
 		Pools: make(map[string][]route.Candidate), VMs: c.vms.Entries(), Group: c.groupView(),
 		Stopping: c.stopping, At: now, alive: 1 + c.vms.Alive(now),
 	}
+	v.Entries = c.entryVMs(now)
 	v.Spend = c.book.Totals()
 	if c.replica != nil {
 		status := c.replica.core.Status()
@@ -86,8 +89,11 @@
 func (c *Control) publishEndpoint(v *View, e *endpoint.Entry) {
 	stat := c.stat(e)
 	s := EndpointStatus{Entry: e, Until: e.Expires, InFlight: stat.InFlight()}
+	if e.Open {
+		s.Until = e.Expires.Add(unconfirmedFor)
+	}
 	if c.document != nil {
-		s.Admitted = c.document.Admits(e.Pool, e.EndpointID, e.TokenSHA256)
+		s.Admitted = c.document.Admits(e.Pool, e.EndpointID, e.TokenSHA256) || (e.Open && c.document.Service(e.Pool) != nil)
 		if begin, ok := c.plannedStop(e.EndpointID, ""); ok && e.Incarnation < uint64(begin.UnixMilli()) {
 			s.Until = earlier(s.Until, begin)
 		}
@@ -96,12 +102,31 @@
 	if !s.Admitted || e.Leaving || !v.At.Before(s.Until) {
 		return
 	}
+	vms := v.alive
+	if e.Open {
+		vms = len(v.Entries)
+	}
 	v.Pools[e.Pool] = append(v.Pools[e.Pool], route.Candidate{
-		ID: e.EndpointID, Addr: e.Addr, DataCentre: e.DataCentre, Models: e.Models, Slots: e.Slots, VMs: v.alive,
-		Until: s.Until, Stat: stat,
+		ID: e.EndpointID, Addr: e.Addr, DataCentre: e.DataCentre, Models: e.Models, Slots: e.Slots, VMs: vms,
+		Until: s.Until, Stat: stat, Incarnation: e.Incarnation, Confirmed: v.At.Before(e.Expires),
 	})
 }
 
+// entryVMs returns the VMs that take callers' requests and are alive.
+func (c *Control) entryVMs(now time.Time) []string {
+	var names []string
+	if c.CallersAddr.IsValid() && !c.stopping {
+		names = append(names, c.Name)
+	}
+	for _, v := range c.vms.Entries() {
+		if v.Name != c.Name && v.CallersAddr.IsValid() && v.Alive(now) && !v.Stopping {
+			names = append(names, v.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // plannedStop returns when the planned stop of an endpoint or a VM begins: early enough that what is in flight
 // ends by the stop's time. A stop does not hold for those that started after it began.
 func (c *Control) plannedStop(endpoint, vm string) (time.Time, bool) {
--- a/daemon/command.go
+++ b/daemon/command.go
@@ -37,7 +37,10 @@
 			if err != nil {
 				return fmt.Errorf("%w: %w", errUsage, err)
 			}
-			d := &Daemon{Settings: settings, LogTo: os.Stderr}
+			d := &Daemon{
+				Settings: settings, LogTo: os.Stdout,
+				Reread: func() (*setting.Settings, error) { return setting.Read(c.Flags()) },
+			}
 			return d.Run(c.Context())
 		},
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,7 +20,6 @@
 
 	"godwitplank/console"
 	"godwitplank/control"
-	"godwitplank/disk"
 	"godwitplank/entry"
 	"godwitplank/event"
 	"godwitplank/link"
@@ -34,16 +33,9 @@
 	"godwitplank/workspace"
 )
 
-// Times of a planned stop.
 const (
-	// stopNotice is how long a stopping VM still takes requests, so that the balancer sees its probe fail.
-	stopNotice = 3 * time.Second
-	// stopGrace is added to the longest deadline for what is in flight.
-	stopGrace  = 2 * time.Second
 	watchPause = 100 * time.Millisecond
 	headerWait = 10 * time.Second
-	// lastExchanges is how long the other VMs have to ask for the last counts and for the new leader.
-	lastExchanges = 1200 * time.Millisecond
 )
 
 // Addresses is what the addresses file holds.
@@ -59,8 +51,15 @@
 	Settings *setting.Settings
 	LogTo    io.Writer
 
+	// Reread reads the settings again, if set.
+	Reread func() (*setting.Settings, error)
+
 	log       event.Logger
+	output    *event.Queue
+	meter     *telemetry.Meter
+	servers   []*http.Server
 	control   *control.Control
+	routes    *routes
 	entry     *entry.Entry
 	runner    *pipeline.Runner
 	callers   *http.Server
@@ -75,7 +74,10 @@
 	defer stop()
 	s := d.Settings
 	incarnation := uint64(timer.System.Now().UnixNano())
-	d.log = event.NewLogger(d.LogTo, s.LogLevel, s.VM)
+	d.output = event.NewQueue(d.LogTo)
+	defer d.output.Close()
+	d.log = event.NewLogger(d.output, s.LogLevel, s.VM)
+	limitMemory(s.MemoryMB)
 	if s.TraceFile != "" {
 		end, err := telemetry.TraceTo(s.TraceFile)
 		if err != nil {
@@ -98,6 +100,9 @@
 	var listeners [3]net.Listener
 	var bound [3]netip.AddrPort
 	for i, addr := range []netip.AddrPort{s.CallersAddr, s.OperatorsAddr, s.LinkAddr} {
+		if !addr.IsValid() {
+			continue
+		}
 		l, err := net.Listen("tcp", addr.String())
 		if err != nil {
 			return listeners, Addresses{}, fmt.Errorf("cannot listen on %s: %w; give a free address of this VM", addr, err)
@@ -116,14 +121,10 @@
 		Limiter: limiter, Tally: tally,
 		Name: s.VM, DataCentre: s.DataCentre, Incarnation: incarnation,
 		LinkAddr: bound.LinkAddr, OperatorsAddr: bound.OperatorsAddr, CallersAddr: bound.CallersAddr,
-		Join: s.Join, Discover: s.Discover, Clock: timer.System, Log: d.log,
+		Join: s.Join, Discover: s.Discover, Bootstrap: s.Bootstrap, SpareAfter: s.SpareAfter, Clock: timer.System, Log: d.log,
 	}
-	if s.DataDir != "" {
-		folder, err := disk.Open(s.DataDir, s.VM)
-		if err != nil {
-			return err
-		}
-		d.control.Folder = folder
+	if err := d.openFolder(); err != nil {
+		return err
 	}
 	if err := d.control.Init(); err != nil {
 		return err
@@ -132,12 +133,17 @@
 	if err != nil {
 		return err
 	}
+	d.meter = meter
 	d.runner = &pipeline.Runner{
 		VM: s.VM, Incarnation: incarnation, DataCentre: s.DataCentre,
 		Pools:  pipeline.PoolsFunc(func(name string) []route.Candidate { return d.control.View().Pools[name] }),
 		Policy: route.Policies[s.Policy](), Ledger: d.control, Client: stage.NewClient(),
 		Clock: timer.System, Meter: meter, Log: d.log, Spend: tally.Add,
 	}
+	if s.RoutesAddr.IsValid() {
+		d.routes = newRoutes(s, d.control, meter, d.log)
+		d.control.Pieces = d.routes.broker
+	}
 	d.entry = &entry.Entry{
 		Views: d.control, Announcer: d.control, Runner: d.runner, Limiter: limiter,
 		Clock: timer.System, Meter: meter, Log: d.log,
@@ -158,7 +164,12 @@
 	defer stopControl()
 	failures := make(chan error, 4)
 	d.start(failures, func() error { return d.control.Run(controlContext) })
-	d.start(failures, func() error { return d.callers.Serve(listeners[0]) })
+	if listeners[0] != nil {
+		d.start(failures, func() error { return d.callers.Serve(listeners[0]) })
+	}
+	if err := d.serveOthers(controlContext, failures); err != nil {
+		return err
+	}
 	d.start(failures, func() error { return d.operators.Serve(listeners[1]) })
 	d.start(failures, func() error { return d.link.Serve(listeners[2]) })
 	if err := writeAddresses(d.Settings.AddressesFile, bound); err != nil {
@@ -191,12 +202,15 @@
 func (d *Daemon) wait(ctx context.Context, failures <-chan error) (string, error) {
 	watch := timer.Subscribe(ctx, watchPause)
 	ready := false
+	reload := d.watchSettings(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return "signal", nil
 		case err := <-failures:
 			return "", err
+		case why := <-reload:
+			d.reload(ctx, why)
 		case now := <-watch:
 			v := d.control.View()
 			if v.Ready && !ready {
@@ -210,24 +224,6 @@
 	}
 }
 
-// drain lets the balancer see the stop, hands leadership over and waits for what is in flight.
-func (d *Daemon) drain() {
-	ctx := context.Background()
-	_ = d.control.BeginStop(ctx)
-	d.callers.SetKeepAlivesEnabled(false)
-	_ = timer.Wait(ctx, stopNotice)
-	limit := stopGrace
-	if v := d.control.View(); v.Document != nil {
-		limit += v.Document.LongestDeadline()
-	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	_ = d.callers.Shutdown(ctx)
-	d.runner.Wait()
-	_ = d.control.BeginStop(ctx)
-	_ = timer.Wait(context.Background(), lastExchanges)
-}
-
 func writeAddresses(path string, a Addresses) error {
 	if path == "" {
 		return nil
--- a/disk/folder.go
+++ b/disk/folder.go
@@ -34,13 +34,18 @@
 
 // Open makes the folder or opens it for a VM.
 func Open(path, vm string) (*Folder, error) {
+	return OpenAs(path, vm, uuid.NewString())
+}
+
+// OpenAs is Open with the replica id that a new folder gets.
+func OpenAs(path, vm, replicaID string) (*Folder, error) {
 	if err := os.MkdirAll(path, 0o750); err != nil {
 		return nil, fmt.Errorf("cannot make the data folder: %w; give --data_dir a folder that can be written", err)
 	}
 	f := &Folder{Path: path}
 	err := f.readJSON(identityFile, &f.Identity)
 	if errors.Is(err, fs.ErrNotExist) {
-		f.Identity = Identity{ReplicaID: uuid.NewString(), VM: vm}
+		f.Identity = Identity{ReplicaID: replicaID, VM: vm}
 		err = f.writeJSON(identityFile, f.Identity)
 	}
 	if err != nil {
--- a/document/check.go
+++ b/document/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"path"
 	"regexp"
+	"slices"
 
 	"godwitplank/fault"
 )
@@ -56,6 +57,7 @@
 	c.workspaces(d.Workspaces)
 	c.admissions(d.EndpointAdmissions)
 	c.stops(d.PlannedStops)
+	c.routes(d.Routes, c.services(d.Services))
 	return c.faults
 }
 
@@ -93,10 +95,16 @@
 	keys := make(map[string]bool)
 	for i, w := range workspaces {
 		place := fmt.Sprintf("workspaces[%d]", i)
-		c.name(place+".name", w.Name)
+		if w.Unlimited {
+			c.present(place+".name", w.Name)
+		} else {
+			c.name(place+".name", w.Name)
+		}
 		c.once(names, place+".name", w.Name)
-		c.digest(place+".key_sha256", w.KeySHA256)
-		c.once(keys, place+".key_sha256", w.KeySHA256)
+		c.keys(place, &w, keys)
+		if w.Unlimited {
+			continue
+		}
 		if w.RequestsPerSecond <= 0 {
 			c.add(place+".requests_per_second", "is %v; give a number over 0", w.RequestsPerSecond)
 		}
@@ -106,6 +114,20 @@
 	}
 }
 
+func (c *checker) keys(place string, w *Workspace, seen map[string]bool) {
+	if w.KeySHA256 != "" || !w.Unlimited {
+		c.digest(place+".key_sha256", w.KeySHA256)
+		c.once(seen, place+".key_sha256", w.KeySHA256)
+	}
+	for i, key := range w.KeysSHA256 {
+		at := fmt.Sprintf("%s.keys_sha256[%d]", place, i)
+		c.digest(at, key)
+		if !slices.Contains(w.KeysSHA256[:i], key) {
+			c.once(seen, at, key)
+		}
+	}
+}
+
 func (c *checker) admissions(admissions []EndpointAdmission) {
 	for i, a := range admissions {
 		place := fmt.Sprintf("endpoint_admissions[%d]", i)
--- a/document/document.go
+++ b/document/document.go
@@ -27,7 +27,12 @@
 	Workspaces         []Workspace         `json:"workspaces" yaml:"workspaces"`
 	EndpointAdmissions []EndpointAdmission `json:"endpoint_admissions" yaml:"endpoint_admissions"`
 	PlannedStops       []PlannedStop       `json:"planned_stops,omitempty" yaml:"planned_stops"`
+	Routes             []Route             `json:"routes,omitempty" yaml:"routes"`
+	Services           []Service           `json:"services,omitempty" yaml:"services"`
+	RequestLimits      RequestLimits       `json:"request_limits,omitzero" yaml:"request_limits"`
 
+	routes    map[string][]*Route
+	services  map[string]*Service
 	pipelines map[string]*Pipeline
 	keys      map[string]*Workspace
 	names     map[string]*Workspace
@@ -53,11 +58,17 @@
 
 // Workspace is a customer with its key and limits.
 type Workspace struct {
-	Name               string  `json:"name" yaml:"name"`
-	KeySHA256          string  `json:"key_sha256" yaml:"key_sha256"`
+	Name      string `json:"name" yaml:"name"`
+	KeySHA256 string `json:"key_sha256,omitempty" yaml:"key_sha256"`
+	// KeysSHA256 lists further keys.
+	KeysSHA256 []string `json:"keys_sha256,omitempty" yaml:"keys_sha256"`
+	// Unlimited workspaces have no limits; the two fields below are then not needed.
+	Unlimited          bool    `json:"unlimited,omitempty" yaml:"unlimited"`
 	RequestsPerSecond  float64 `json:"requests_per_second" yaml:"requests_per_second"`
 	ConcurrentRequests int     `json:"concurrent_requests" yaml:"concurrent_requests"`
 	Priority           int     `json:"priority" yaml:"priority"`
+	// RanksRequests lets Priority replace the rank of a route.
+	RanksRequests bool `json:"ranks_requests,omitempty" yaml:"ranks_requests"`
 }
 
 // EndpointAdmission lets endpoints whose ids match a pattern serve a pool.
@@ -104,11 +115,19 @@
 	if err := dec.Decode(d); err != nil && !errors.Is(err, io.EOF) {
 		return nil, invalid([]fault.Place{{Place: "document", Message: yaml.FormatError(err, false, false)}})
 	}
+	if err := d.Check(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Check checks the document whole and makes it ready for use. Its error lists every fault.
+func (d *Document) Check() error {
 	if faults := d.check(); len(faults) > 0 {
-		return nil, invalid(faults)
+		return invalid(faults)
 	}
 	d.index()
-	return d, nil
+	return nil
 }
 
 // ParseCanonical reads a document that was accepted before.
@@ -171,16 +190,28 @@
 	return false
 }
 
-// LongestDeadline returns the longest deadline of all pipelines.
+// LongestDeadline returns the longest deadline of all pipelines and routes.
 func (d *Document) LongestDeadline() time.Duration {
 	var longest time.Duration
 	for i := range d.Pipelines {
 		longest = max(longest, d.Pipelines[i].Deadline())
 	}
+	for i := range d.Routes {
+		longest = max(longest, d.Routes[i].Timeout())
+	}
 	return longest
 }
 
+// Keys returns the digests of all keys of the workspace.
+func (w *Workspace) Keys() []string {
+	if w.KeySHA256 == "" {
+		return w.KeysSHA256
+	}
+	return append([]string{w.KeySHA256}, w.KeysSHA256...)
+}
+
 func (d *Document) index() {
+	d.indexRoutes()
 	d.pipelines = make(map[string]*Pipeline, len(d.Pipelines))
 	for i := range d.Pipelines {
 		d.pipelines[d.Pipelines[i].Name] = &d.Pipelines[i]
@@ -188,7 +219,9 @@
 	d.keys = make(map[string]*Workspace, len(d.Workspaces))
 	d.names = make(map[string]*Workspace, len(d.Workspaces))
 	for i := range d.Workspaces {
-		d.keys[d.Workspaces[i].KeySHA256] = &d.Workspaces[i]
+		for _, key := range d.Workspaces[i].Keys() {
+			d.keys[key] = &d.Workspaces[i]
+		}
 		d.names[d.Workspaces[i].Name] = &d.Workspaces[i]
 	}
 }
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -33,6 +33,8 @@
 	Source  Source
 	// Revision is the table's revision at the last change that a router sees.
 	Revision uint64
+	// Open entries belong to a service that admits every endpoint.
+	Open bool
 	// Claimant names another machine that announces the same id, or another id at the same address.
 	Claimant string
 	// ClaimedUntil is how long Claimant is shown, by this VM's clock.
@@ -69,7 +71,14 @@
 		t.holders = make(map[netip.AddrPort]string)
 	}
 	if holder := t.entries[t.holders[next.Addr]]; holder != nil && holder.EndpointID != next.EndpointID && now.Before(holder.Expires) && !holder.Leaving {
-		return t.clash(now, holder, next.EndpointID)
+		switch {
+		case !holder.Open:
+			return t.clash(now, holder, next.EndpointID)
+		case next.Incarnation < holder.Incarnation:
+			return Stale
+		}
+		// The address was given to another endpoint, so that the one before it is gone.
+		t.Leave(holder.EndpointID)
 	}
 	old := t.entries[next.EndpointID]
 	if old != nil {
@@ -96,6 +105,23 @@
 	return Changed
 }
 
+// Leave marks an endpoint as leaving for its incarnation. It reports whether the endpoint is known, and whether that is news.
+func (t *Table) Leave(id string) (known, changed bool) {
+	old := t.entries[id]
+	if old == nil || old.Leaving {
+		return old != nil, false
+	}
+	next := *old
+	next.Leaving = true
+	// The mark has to be newer than the announcement that other VMs have.
+	next.Sequence++
+	next.Source = Direct
+	t.revision++
+	next.Revision = t.revision
+	t.entries[id] = &next
+	return true, true
+}
+
 // otherMachine reports whether next comes from a second live machine with the id of old.
 // A newer incarnation is a restart; an older one that still announces itself is a second machine.
 func otherMachine(now time.Time, old, next *Entry) bool {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -8,6 +8,10 @@
 	StopBegun         = Event{102, log.InfoLevel, "planned stop begun", "reason", "wait for event 103"}
 	Stopped           = Event{103, log.InfoLevel, "VM stopped", "in_flight", "if in_flight is not 0, requests outlived their deadlines: report it"}
 	Ready             = Event{104, log.InfoLevel, "VM is ready", "document_version", "nothing"}
+	Reloaded          = Event{105, log.InfoLevel, "settings read again", "reason, changed", "nothing; settings that are not listed need a restart"}
+	ReloadRefused     = Event{106, log.ErrorLevel, "settings could not be read again", "reason, error", "mend the settings; those from before stay in force"}
+	StopStep          = Event{107, log.WarnLevel, "step of the stop failed", "step, error", "nothing if the VM stopped; else look at its other lines"}
+	LinesDropped      = Event{108, log.WarnLevel, "log lines dropped", "lines", "read the output faster, or raise --log_level"}
 	RoleChanged       = Event{201, log.InfoLevel, "replica changed role", "role, term, leader", "if it repeats every few seconds, look for a slow disk or a bad link"}
 	GroupStarted      = Event{202, log.InfoLevel, "replicated group started", "group, voters", "nothing"}
 	MembershipChanged = Event{203, log.InfoLevel, "group membership proposed", "step, vm, replica", "nothing; the repair is finished when the status says repaired"}
@@ -26,16 +30,26 @@
 	RequestRefused    = Event{501, log.DebugLevel, "request refused", "request_id, workspace, pipeline, kind, outcome", "see the kind's remedy"}
 	AnswerDropped     = Event{502, log.WarnLevel, "stage answer dropped: its ids do not match the call", "request_id, stage, attempt, endpoint", "the endpoint mixes answers up: take it out and mend it"}
 	OrderUnknown      = Event{503, log.WarnLevel, "outcome of a call that may not be repeated is unknown", "request_id, workspace, stage", "look in the service's own records whether it ran"}
+	RequestSent       = Event{504, log.InfoLevel, "request sent to an endpoint", "request_id, endpoint, addr, attempt, cause, candidates, in_flight, cached_tokens, uncached_tokens, confirmed, left_ms, budget_left", "nothing"}
+	RequestAnswered   = Event{505, log.InfoLevel, "request answered", "request_id, route, workspace, document_version, status, kind, message, stages_ms, first_ms, took_ms, left_ms, attempts, retry_after_ms", "if kind is not empty, follow the request's other lines"}
+	AttemptFailed     = Event{506, log.WarnLevel, "attempt failed", "request_id, endpoint, error, sent, not_run, took_ms, shed_ms", "look at the endpoint if it repeats"}
+	StreamResumed     = Event{507, log.InfoLevel, "stream resumed at another endpoint", "request_id, endpoint, last_event", "nothing"}
+	PiecesMade        = Event{508, log.InfoLevel, "pieces of a stage made", "service, endpoint, pieces, first_request, waited_ms, took_ms, predicted_ms, result", "if took_ms is far over predicted_ms, the endpoint is slow"}
+	StageDone         = Event{509, log.InfoLevel, "stage of a request done", "request_id, stage, service, pieces, took_ms, error", "if took_ms is long, look for event 508 of the service"}
+	ResultNotFreed    = Event{510, log.DebugLevel, "stage result not given back", "handle, error", "nothing; it expires by itself"}
+	MakerFailed       = Event{511, log.WarnLevel, "VM that makes pieces failed", "request_id, service, peer, error", "look whether the VM or the link to it failed"}
+	RequestTaken      = Event{512, log.DebugLevel, "request taken", "request_id, route, workspace, document_version, left_ms", "nothing"}
 	DocumentInForce   = Event{601, log.InfoLevel, "document in force", "document_version, digest", "nothing"}
-	DocumentRefused   = Event{602, log.InfoLevel, "document refused", "document_version, kind", "mend the document and submit it again"}
+	DocumentRefused   = Event{602, log.InfoLevel, "document refused", "document_version, kind, message", "mend the document and submit it again"}
 )
 
 // Catalogue lists all events by number.
 var Catalogue = []Event{
-	Started, StopBegun, Stopped, Ready,
+	Started, StopBegun, Stopped, Ready, Reloaded, ReloadRefused, StopStep, LinesDropped,
 	RoleChanged, GroupStarted, MembershipChanged, SnapshotTaken, SnapshotInstalled, TailCut, LeaderHandedOver,
 	VMHeard, VMLost, LinkReset,
 	EndpointHeard, EndpointLeaving, EndpointLost, EndpointClash, EndpointShed,
 	RequestRefused, AnswerDropped, OrderUnknown,
+	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, PiecesMade, StageDone, ResultNotFreed, MakerFailed, RequestTaken,
 	DocumentInForce, DocumentRefused,
 }
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -40,6 +40,7 @@
 	ChangeIDReused     Kind = "change_id_reused"
 	AnswerLost         Kind = "answer_lost"
 	EndpointConflict   Kind = "endpoint_conflict"
+	EndpointUnknown    Kind = "endpoint_unknown"
 	NotAdmitted        Kind = "not_admitted"
 	GroupExists        Kind = "group_exists"
 	GroupUnreachable   Kind = "group_unreachable"
@@ -74,6 +75,7 @@
 	ChangeIDReused:     http.StatusConflict,
 	AnswerLost:         http.StatusServiceUnavailable,
 	EndpointConflict:   http.StatusConflict,
+	EndpointUnknown:    http.StatusServiceUnavailable,
 	NotAdmitted:        http.StatusUnauthorized,
 	GroupExists:        http.StatusConflict,
 	GroupUnreachable:   http.StatusServiceUnavailable,
@@ -137,6 +139,12 @@
 	return &c
 }
 
+// Is reports whether err is an *Error, so that it says itself what happened.
+func Is(err error) bool {
+	var e *Error
+	return errors.As(err, &e)
+}
+
 // As returns err as an *Error; an error of another type becomes an internal one.
 func As(err error) *Error {
 	var e *Error
--- /dev/null
+++ b/piece/maker.go
@@ -0,0 +1,432 @@
+package piece
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"godwitplank/connection"
+	"godwitplank/document"
+	"godwitplank/event"
+	"godwitplank/retry"
+	"godwitplank/route"
+	"godwitplank/telemetry"
+	"godwitplank/timer"
+)
+
+// Times and weights of calls to the endpoints of stages.
+const (
+	// A call is given up after callPatience times its predicted time and callSlack.
+	callPatience = 3
+	callSlack    = 600 * time.Millisecond
+	// fullPause is how long an endpoint that has no room, or takes no call, gets none.
+	fullPause = 120 * time.Millisecond
+	// firstPause is how long an endpoint that failed gets no call; it doubles with each failure in a row.
+	firstPause = 500 * time.Millisecond
+	mostPause  = 8 * time.Second
+	// farFactor makes an endpoint of another data centre dearer, as a factor on its predicted time.
+	farFactor = 1.15
+	// speedWeight is the share of a new measurement in the learned speed.
+	speedWeight = 0.25
+	freeEvery   = 100 * time.Millisecond
+	checkEvery  = 50 * time.Millisecond
+	answerBytes = 4 << 20
+)
+
+// Services gives the endpoints and the description of a service.
+type Services interface {
+	// Endpoints returns the endpoints that may get work.
+	Endpoints(service string) []route.Candidate
+	// Service returns the description of a service, nil if there is none.
+	Service(name string) *document.Service
+}
+
+// Maker makes jobs by calls to the endpoints of their services. Set the exported fields, then call Run.
+type Maker struct {
+	Services Services
+	Protocol Protocol
+	Pool     *connection.Pool
+	Budget   *retry.Budget
+	Clock    timer.Clock
+	Meter    *telemetry.Meter
+	Log      event.Logger
+
+	mu     sync.Mutex
+	queues map[string]*queue
+	calls  map[connection.Key]*caller
+	frees  map[netip.AddrPort][]string
+	group  sync.WaitGroup
+}
+
+// caller is what the maker knows of one endpoint.
+type caller struct {
+	busy     int
+	failures int
+	// slow is the learned factor on the described time of a call.
+	slow  float64
+	until time.Time
+}
+
+// Serve wakes the queues until ctx ends.
+func (m *Maker) Serve(ctx context.Context) {
+	checks := timer.Subscribe(ctx, checkEvery)
+	frees := timer.Subscribe(ctx, freeEvery)
+	for {
+		select {
+		case <-ctx.Done():
+			m.group.Wait()
+			return
+		case <-checks:
+			m.dispatchAll()
+		case <-frees:
+			m.flushFrees(ctx)
+		}
+	}
+}
+
+// Run returns the handles of a job's results in the order of its pieces.
+func (m *Maker) Run(ctx context.Context, j *Job) ([]string, error) {
+	now := m.Clock.Now()
+	p := newPending(ctx, j, now)
+	m.Budget.Request(now, j.Service)
+	m.mu.Lock()
+	m.init()
+	q := m.queues[j.Service]
+	if q == nil {
+		q = &queue{}
+		m.queues[j.Service] = q
+	}
+	q.add(now, p.units()...)
+	m.dispatch(j.Service, q)
+	m.mu.Unlock()
+	select {
+	case err := <-p.done:
+		if err == nil {
+			return p.handles, nil
+		}
+		m.abandon(p)
+		return nil, err
+	case <-ctx.Done():
+		m.abandon(p)
+		return nil, context.Cause(ctx)
+	}
+}
+
+// abandon drops what waits of a job and gives back what is made.
+func (m *Maker) abandon(p *pending) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p.ended = true
+	for _, h := range p.handles {
+		m.freeOne(h)
+	}
+	p.handles = nil
+}
+
+func (m *Maker) init() {
+	if m.queues == nil {
+		m.queues = make(map[string]*queue)
+		m.calls = make(map[connection.Key]*caller)
+		m.frees = make(map[netip.AddrPort][]string)
+	}
+}
+
+func (m *Maker) dispatchAll() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, q := range m.queues {
+		m.dispatch(name, q)
+	}
+}
+
+// dispatch gives what waits to endpoints that are free.
+func (m *Maker) dispatch(service string, q *queue) {
+	now := m.Clock.Now()
+	q.expire(now)
+	s := m.Services.Service(service)
+	if len(q.waiting) == 0 || s == nil || s.Batch == nil {
+		return
+	}
+	for len(q.waiting) > 0 {
+		free, c := m.free(now, s, q.waiting[0].job)
+		if c == nil {
+			return
+		}
+		share := int(math.Ceil(float64(len(q.waiting)) / float64(free)))
+		units := q.take(share, s.Batch.Pieces)
+		known := m.caller(key(c))
+		known.busy++
+		m.group.Go(func() { m.call(s, c, known, units) })
+	}
+}
+
+// free returns how many endpoints may take a call, and the one that is predicted to make the job first.
+func (m *Maker) free(now time.Time, s *document.Service, j *pending) (int, *route.Candidate) {
+	var best *route.Candidate
+	bestCost, n := 0.0, 0
+	candidates := m.Services.Endpoints(s.Name)
+	for i := range candidates {
+		c := &candidates[i]
+		known := m.caller(key(c))
+		if known.busy >= max(1, s.Batch.Slots) || now.Before(known.until) || !now.Before(c.Until) {
+			continue
+		}
+		n++
+		cost := known.slow
+		if c.DataCentre != j.DataCentre {
+			cost *= farFactor
+		}
+		if !c.Confirmed {
+			cost *= 4
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = c, cost
+		}
+	}
+	return n, best
+}
+
+func key(c *route.Candidate) connection.Key {
+	return connection.Key{ID: c.ID, Incarnation: c.Incarnation}
+}
+
+func (m *Maker) caller(k connection.Key) *caller {
+	c := m.calls[k]
+	if c == nil {
+		c = &caller{slow: 1}
+		m.calls[k] = c
+	}
+	return c
+}
+
+// call makes one call and hands out its results.
+func (m *Maker) call(s *document.Service, c *route.Candidate, known *caller, units []*unit) {
+	begun := m.Clock.Now()
+	predicted := time.Duration((s.Batch.CallMS + s.Batch.PieceMS*float64(len(units))) * float64(time.Millisecond))
+	patience := time.Duration(float64(predicted)*known.slow)*callPatience + callSlack
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	items := make([]Item, len(units))
+	for i, u := range units {
+		items[i] = Item{
+			RequestID: u.job.RequestID, Stage: u.job.Stage, Piece: u.piece, Key: u.job.Key, Inputs: u.job.Inputs,
+			Remaining: u.job.Deadline.Sub(begun),
+		}
+	}
+	answer, err := m.exchange(ctx, s, c, items)
+	took := m.Clock.Now().Sub(begun)
+	m.Meter.Attempt(s.Name, "batch", outcome(answer, err), took)
+	m.Log.Log(event.PiecesMade, "service", s.Name, "endpoint", c.ID, "pieces", len(units), "first_request", units[0].job.RequestID,
+		"waited_ms", begun.Sub(units[0].job.queued).Milliseconds(), "took_ms", took.Milliseconds(), "predicted_ms", predicted.Milliseconds(),
+		"result", outcome(answer, err))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known.busy--
+	m.judge(known, answer, err, took, predicted)
+	m.settle(s, answer, err, units)
+	m.dispatch(s.Name, m.queues[s.Name])
+}
+
+func outcome(a Answer, err error) string {
+	switch {
+	case err != nil:
+		return err.Error()
+	case a.NotRun:
+		return "not_run"
+	}
+	return "done"
+}
+
+// exchange sends the call and reads its answer.
+func (m *Maker) exchange(ctx context.Context, s *document.Service, c *route.Candidate, items []Item) (Answer, error) {
+	return m.send(ctx, s, c, m.Protocol.RunCall(c.ID, c.Addr.String(), items), len(items))
+}
+
+func (m *Maker) send(ctx context.Context, s *document.Service, c *route.Candidate, call *connection.Call, items int) (Answer, error) {
+	conn, err := m.Pool.Open(ctx, key(c), c.Addr, s.MaxConnections)
+	if err != nil {
+		return Answer{}, err
+	}
+	if _, err := conn.Send(ctx, call); err != nil {
+		conn.Close()
+		return Answer{}, err
+	}
+	r, err := conn.Receive(call.Method)
+	if err != nil {
+		conn.Close()
+		return Answer{}, err
+	}
+	body, err := connection.ReadBody(r, answerBytes)
+	if err != nil {
+		conn.Close()
+		return Answer{}, err
+	}
+	conn.Release(r)
+	answer, err := m.Protocol.RunAnswer(r.StatusCode, r.Header, body)
+	if err == nil && !answer.NotRun && len(answer.Results) != items {
+		err = fmt.Errorf("the answer has %d results for %d pieces", len(answer.Results), items)
+	}
+	return answer, err
+}
+
+// judge learns of an endpoint from a call.
+func (m *Maker) judge(known *caller, a Answer, err error, took, predicted time.Duration) {
+	now := m.Clock.Now()
+	switch {
+	case err != nil && !errors.Is(err, connection.ErrFull):
+		pause := min(firstPause<<min(known.failures, 8), mostPause)
+		known.failures++
+		known.until = now.Add(pause)
+	case err != nil || a.NotRun:
+		known.until = now.Add(fullPause)
+	default:
+		known.failures = 0
+		known.slow += speedWeight * (float64(took)/float64(predicted) - known.slow)
+		if slices.ContainsFunc(a.Results, func(r Result) bool { return r.Reason == NoRoom }) {
+			known.until = now.Add(fullPause)
+		}
+	}
+}
+
+// settle hands out the results of a call, or puts its units back.
+func (m *Maker) settle(s *document.Service, a Answer, err error, units []*unit) {
+	var again []*unit
+	for i, u := range units {
+		result := itemResult(a, err, i)
+		if u.job.ended {
+			m.freeOne(result.Handle)
+			continue
+		}
+		switch result.Reason {
+		case Made:
+			m.deliver(u, result.Handle)
+		case Late:
+			u.job.end(ErrLate)
+		case InputGone:
+			u.job.end(ErrInputsGone)
+		case Broken:
+			u.tries++
+			again = append(again, u)
+		case NoRoom:
+			again = append(again, u)
+		}
+	}
+	m.retry(s, again)
+}
+
+func itemResult(a Answer, err error, item int) Result {
+	switch {
+	case errors.Is(err, connection.ErrFull) || a.NotRun:
+		return Result{Reason: NoRoom}
+	case err != nil:
+		return Result{Reason: Broken}
+	}
+	return a.Results[item]
+}
+
+func (m *Maker) deliver(u *unit, handle string) {
+	u.job.handles[u.piece] = handle
+	u.job.left--
+	if u.job.left == 0 {
+		u.job.end(nil)
+	}
+}
+
+// retry puts units back while the budget allows it.
+func (m *Maker) retry(s *document.Service, units []*unit) {
+	now := m.Clock.Now()
+	var again []*unit
+	for _, u := range units {
+		if u.tries >= mostTries || !m.Budget.Take(now, s.Name, 1) {
+			u.job.end(ErrTries)
+			continue
+		}
+		again = append(again, u)
+	}
+	if len(again) > 0 {
+		m.queues[s.Name].add(now, again...)
+	}
+}
+
+// Free gives results back soon.
+func (m *Maker) Free(_ string, handles []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.init()
+	for _, h := range handles {
+		m.freeOne(h)
+	}
+}
+
+func (m *Maker) freeOne(handle string) {
+	if handle == "" {
+		return
+	}
+	addr, err := m.Protocol.Holder(handle)
+	if err != nil {
+		m.Log.Log(event.ResultNotFreed, "handle", handle, "error", err.Error())
+		return
+	}
+	m.frees[addr] = append(m.frees[addr], handle)
+}
+
+// flushFrees sends what is to be given back, one call an endpoint. A result that cannot be given back expires by itself.
+func (m *Maker) flushFrees(ctx context.Context) {
+	m.mu.Lock()
+	frees := m.frees
+	if len(frees) == 0 {
+		m.mu.Unlock()
+		return
+	}
+	m.frees = make(map[netip.AddrPort][]string)
+	var services []string
+	for name := range m.queues {
+		services = append(services, name)
+	}
+	m.mu.Unlock()
+	for _, name := range services {
+		s := m.Services.Service(name)
+		for _, c := range m.Services.Endpoints(name) {
+			if handles := frees[c.Addr]; handles != nil && s != nil {
+				m.group.Go(func() { m.sendFrees(ctx, s, &c, handles) })
+			}
+		}
+	}
+}
+
+func (m *Maker) sendFrees(ctx context.Context, s *document.Service, c *route.Candidate, handles []string) {
+	ctx, cancel := context.WithTimeout(ctx, callSlack)
+	defer cancel()
+	conn, err := m.Pool.Open(ctx, key(c), c.Addr, s.MaxConnections)
+	if err == nil {
+		call := m.Protocol.FreeCall(c.ID, c.Addr.String(), handles)
+		if _, err = conn.Send(ctx, call); err == nil {
+			err = finish(conn, call.Method)
+		} else {
+			conn.Close()
+		}
+	}
+	if err != nil {
+		m.Log.Log(event.ResultNotFreed, "handle", handles[0], "error", err.Error())
+	}
+}
+
+// finish reads an answer whose content does not matter.
+func finish(conn *connection.Conn, method string) error {
+	r, err := conn.Receive(method)
+	if err != nil {
+		conn.Close()
+		return err
+	}
+	if _, err := connection.ReadBody(r, answerBytes); err != nil {
+		conn.Close()
+		return err
+	}
+	conn.Release(r)
+	return nil
+}
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -17,7 +17,10 @@
 	// VMs is the number of VMs that are believed to send as many calls as this one.
 	VMs int
 	// Until is the end of the lease, or an earlier planned stop.
-	Until time.Time
+	Until       time.Time
+	Incarnation uint64
+	// Confirmed is true while the endpoint's announcements arrive.
+	Confirmed bool
 	// Stat is shared by all views of one incarnation.
 	Stat *Stat
 }
--- a/state/machine.go
+++ b/state/machine.go
@@ -27,6 +27,8 @@
 		return &Result{Document: m.applyDocument(change.Document)}
 	case *Command_Order:
 		return &Result{Order: m.ledger.Apply(m.time, change.Order)}
+	case *Command_Read:
+		return &Result{Current: m.document}
 	}
 	return &Result{}
 }
@@ -43,6 +45,9 @@
 
 // applyDocument accepts a document that replaces the current version; a change id seen before gets its first answer.
 func (m *Machine) applyDocument(d *DocumentChange) *DocumentResult {
+	if d.Highest {
+		return m.applyHighest(d)
+	}
 	if seen := m.answers[d.ChangeId]; seen != nil {
 		if seen.Digest != d.Digest {
 			return &DocumentResult{CurrentChangeId: d.ChangeId, Version: m.document.GetVersion()}
@@ -61,6 +66,19 @@
 	return r
 }
 
+// applyHighest accepts a document above the current version. One that a higher version has replaced is accepted
+// without effect; other content under the current version is refused.
+func (m *Machine) applyHighest(d *DocumentChange) *DocumentResult {
+	accepted := d.Version != m.document.GetVersion() || d.Digest == m.document.GetDigest()
+	if d.Version > m.document.GetVersion() {
+		m.document = d
+	}
+	return &DocumentResult{
+		Accepted: accepted, Version: m.document.GetVersion(),
+		Digest: m.document.GetDigest(), CurrentChangeId: m.document.GetChangeId(),
+	}
+}
+
 func (m *Machine) remember(c *ChangeResult) {
 	if m.answers == nil {
 		m.answers = make(map[string]*ChangeResult)
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -29,6 +29,7 @@
 type Meter struct {
 	requests metric.Int64Counter
 	attempts metric.Int64Counter
+	opened   metric.Int64Counter
 	latency  metric.Float64Histogram
 	hop      metric.Float64Histogram
 	handler  http.Handler
@@ -51,6 +52,10 @@
 	if err != nil {
 		return nil, err
 	}
+	out.opened, err = m.Int64Counter("godwitplank_connections_opened", metric.WithDescription("New connections to endpoints."))
+	if err != nil {
+		return nil, err
+	}
 	out.latency, err = m.Float64Histogram("godwitplank_request_seconds", metric.WithUnit("s"), metric.WithDescription("Time from a request's arrival to its answer."))
 	if err != nil {
 		return nil, err
@@ -83,6 +88,14 @@
 	m.hop.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("pool", pool), attribute.String("result", result)))
 }
 
+// Connection counts a new connection to an endpoint.
+func (m *Meter) Connection() {
+	if m == nil || m.opened == nil {
+		return
+	}
+	m.opened.Add(context.Background(), 1)
+}
+
 // TraceTo writes every span as a line of JSON to a file. The returned function writes what waits and closes it.
 func TraceTo(path string) (func(context.Context) error, error) {
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o640)
