piece: make pieces where their inputs are, within the memory of results

Change: a job names the data centre of its large inputs, or of the request's engine for large results, and spills after a share of its slack; results are counted against an endpoint's memory; the queue goes by rank.

--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -61,14 +61,13 @@
 func newRoutes(s *setting.Settings, c *control.Control, meter *telemetry.Meter, log event.Logger) *routes {
 	pool := &connection.Pool{Clock: timer.System, Opened: meter.Connection}
 	budget := &retry.Budget{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window}
-	maker := &piece.Maker{
-		Services: services{c}, Protocol: platform.Pieces{}, Pool: pool, Budget: budget, Clock: timer.System, Meter: meter, Log: log,
-	}
-	broker := &piece.Broker{VM: s.VM, Links: c, Maker: maker, Clock: timer.System, Log: log}
+	maker := piece.NewMaker(services{c}, platform.Pieces{}, pool, budget, timer.System, meter, log)
+	broker := piece.NewBroker(s.VM, c, maker, timer.System, log)
 	return &routes{
 		maker: maker, broker: broker,
 		gateway: &gateway.Gateway{
-			DataCentre: s.DataCentre, Views: c, Protocol: platform.Requests{}, Pieces: broker, Policy: route.Policies[s.Policy](),
+			DataCentre: s.DataCentre, Views: c, Protocol: platform.Requests{}, Pieces: broker, Holder: platform.Pieces{}.Holder,
+			Policy:   route.Policies[s.Policy](),
 			Prefixes: &route.Prefixes{}, Budget: budget, Pool: pool, Clock: timer.System, Meter: meter, Log: log,
 		},
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -156,7 +156,7 @@
 func (g *Gateway) choose(x *exchange, cause string) (*attempt, error) {
 	// The newest view, since endpoints may have begun to leave while the stages were made.
 	candidates := g.Views.View().Pools[x.service.Name]
-	q := route.Query{Now: g.Clock.Now(), DataCentre: g.DataCentre, Model: x.Model, Avoid: x.tried}
+	q := route.Query{Now: g.Clock.Now(), DataCentre: g.DataCentre, Model: x.Model, Avoid: x.tried, InputBytes: x.inputBytes}
 	a := &attempt{begun: q.Now}
 	var chosen int
 	if x.service.Engine != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -30,13 +31,15 @@
 	Views      entry.Views
 	Protocol   Protocol
 	Pieces     piece.Runner
-	Policy     route.Policy
-	Prefixes   *route.Prefixes
-	Budget     *retry.Budget
-	Pool       *connection.Pool
-	Clock      timer.Clock
-	Meter      *telemetry.Meter
-	Log        event.Logger
+	// Holder returns the address of the endpoint that holds a result of a stage.
+	Holder   func(handle string) (netip.AddrPort, error)
+	Policy   route.Policy
+	Prefixes *route.Prefixes
+	Budget   *retry.Budget
+	Pool     *connection.Pool
+	Clock    timer.Clock
+	Meter    *telemetry.Meter
+	Log      event.Logger
 
 	inFlight atomic.Int64
 }
@@ -59,6 +62,10 @@
 	// stages is how long the stages took.
 	stages time.Duration
 	inputs []string
+	// inputBytes is the size of the inputs in each data centre.
+	inputBytes map[string]int64
+	// home is the data centre of the endpoint that has most of the prompt cached.
+	home string
 	// ran counts the endpoints that may have run the request, sends the calls sent.
 	ran   int
 	sends int
--- a/gateway/stage.go
+++ b/gateway/stage.go
@@ -8,6 +8,7 @@
 	"godwitplank/document"
 	"godwitplank/event"
 	"godwitplank/piece"
+	"godwitplank/route"
 )
 
 // stagePlan is the state of the stages of one request.
@@ -24,6 +25,7 @@
 		return nil
 	}
 	begun := g.Clock.Now()
+	x.home = g.homeOf(x)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	plan := &stagePlan{handles: make([][]string, len(stages)), done: make([]chan struct{}, len(stages))}
@@ -45,10 +47,11 @@
 		g.freeAll(x, plan)
 		return err
 	}
-	x.inputs = nil
+	x.inputs, x.inputBytes = nil, make(map[string]int64)
 	for i, last := range finals(stages) {
 		if last {
 			x.inputs = append(x.inputs, plan.handles[i]...)
+			g.countBytes(x, i, plan.handles[i], 1, x.inputBytes)
 		} else {
 			g.Pieces.Free(stages[i].Service, plan.handles[i])
 		}
@@ -59,6 +62,9 @@
 func (g *Gateway) makeStage(ctx context.Context, x *exchange, plan *stagePlan, i int) error {
 	s := &x.route.Stages[i]
 	var inputs []string
+	if err := plan.await(ctx, x, i); err != nil {
+		return err
+	}
 	for _, before := range s.After {
 		select {
 		case <-plan.done[before]:
@@ -72,7 +78,8 @@
 	}
 	job := &piece.Job{
 		Service: s.Service, RequestID: x.ID, Stage: i, Pieces: x.Pieces[i], Inputs: inputs,
-		Due: x.due, Deadline: x.deadline, Priority: x.priority, DataCentre: g.DataCentre,
+		Due: x.due, Deadline: x.deadline, Priority: x.priority,
+		DataCentre: g.place(x, plan, i), ResultBytes: s.Bytes,
 	}
 	if len(s.After) == 0 {
 		job.Key = x.PieceKey
@@ -89,6 +96,101 @@
 	return err
 }
 
+// heavyBytes is the size from which results should not cross data centres.
+const heavyBytes = 1 << 20
+
+// homeOf returns the data centre of the endpoint that is predicted to answer first.
+func (g *Gateway) homeOf(x *exchange) string {
+	candidates := g.Views.View().Pools[x.service.Name]
+	if x.service.Engine == nil {
+		return g.DataCentre
+	}
+	chosen, _ := g.Prefixes.Choose(route.Query{Now: g.Clock.Now(), DataCentre: g.DataCentre, Model: x.Model}, candidates, x.Prefix)
+	if chosen < 0 {
+		return g.DataCentre
+	}
+	return candidates[chosen].DataCentre
+}
+
+// place returns the data centre in which a stage should be made: that of its inputs if they are large, that of the
+// request's endpoint if its results are large, else none.
+func (g *Gateway) place(x *exchange, plan *stagePlan, i int) string {
+	s := &x.route.Stages[i]
+	sizes := make(map[string]int64)
+	for _, before := range s.After {
+		g.countBytes(x, before, plan.handles[before], x.Pieces[i], sizes)
+	}
+	if largest := largestOf(sizes); largest != "" {
+		return largest
+	}
+	if finals(x.route.Stages)[i] && s.Bytes*int64(x.Pieces[i]) >= heavyBytes {
+		return x.home
+	}
+	return ""
+}
+
+// countBytes adds the size of results that are fetched a number of times to the data centres that hold them.
+func (g *Gateway) countBytes(x *exchange, stage int, handles []string, times int, sizes map[string]int64) {
+	s := &x.route.Stages[stage]
+	for _, h := range handles {
+		addr, err := g.Holder(h)
+		if err != nil {
+			continue // a handle of unknown form has no place to prefer
+		}
+		for _, c := range g.Views.View().Pools[s.Service] {
+			if c.Addr == addr {
+				sizes[c.DataCentre] += s.Bytes * int64(times)
+			}
+		}
+	}
+}
+
+// largestOf returns the data centre that holds most, if that is heavy.
+func largestOf(sizes map[string]int64) string {
+	largest, most := "", int64(heavyBytes)
+	for dataCentre, n := range sizes {
+		if n >= most {
+			largest, most = dataCentre, n
+		}
+	}
+	return largest
+}
+
+// await holds a stage with large results back until the longest chain of stages is nearly done, so that they take
+// memory for a short time only.
+func (p *stagePlan) await(ctx context.Context, x *exchange, i int) error {
+	stages := x.route.Stages
+	if !finals(stages)[i] || i >= len(x.Pieces) || stages[i].Bytes*int64(x.Pieces[i]) < heavyBytes {
+		return nil
+	}
+	deepest, most := i, depth(stages, i)
+	for j := range stages {
+		if d := depth(stages, j); d > most && j < len(x.Pieces) && x.Pieces[j] > 0 {
+			deepest, most = j, d
+		}
+	}
+	if deepest == i {
+		return nil
+	}
+	for _, before := range stages[deepest].After {
+		select {
+		case <-p.done[before]:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+	return nil
+}
+
+// depth returns the number of stages in the longest chain up to a stage.
+func depth(stages []document.RouteStage, i int) int {
+	d := 0
+	for _, before := range stages[i].After {
+		d = max(d, depth(stages, before))
+	}
+	return d + 1
+}
+
 // finals reports for each stage whether no other stage takes its results.
 func finals(stages []document.RouteStage) []bool {
 	out := make([]bool, len(stages))
--- a/piece/broker.go
+++ b/piece/broker.go
@@ -30,7 +30,7 @@
 }
 
 // Broker gives each service's jobs to one VM, so that pieces of the requests of all VMs share calls. Where that VM
-// fails, the job is made here. Set the exported fields before its use.
+// fails, the job is made here.
 type Broker struct {
 	VM    string
 	Links Links
@@ -41,9 +41,15 @@
 	mu       sync.Mutex
 	suspects map[string]time.Time
 	frees    map[string][]string
+	freed    chan struct{}
 	group    sync.WaitGroup
 }
 
+// NewBroker returns a broker of a VM.
+func NewBroker(vm string, links Links, maker *Maker, clock timer.Clock, log event.Logger) *Broker {
+	return &Broker{VM: vm, Links: links, Maker: maker, Clock: clock, Log: log, freed: make(chan struct{}, 1)}
+}
+
 // Run has a job made by the VM of its service, or here.
 func (b *Broker) Run(ctx context.Context, j *Job) ([]string, error) {
 	owner := b.owner(j.Service)
@@ -108,7 +114,7 @@
 	reply, err := client.RunPieces(ctx, &link.RunPiecesRequest{
 		Service: j.Service, RequestId: j.RequestID, Stage: int32(j.Stage), Pieces: int32(j.Pieces), Key: j.Key, Inputs: j.Inputs,
 		RemainingMs: j.Deadline.Sub(now).Milliseconds(), DueMs: j.Due.Sub(now).Milliseconds(), Priority: int32(j.Priority),
-		DataCentre: j.DataCentre,
+		DataCentre: j.DataCentre, ResultBytes: j.ResultBytes,
 	})
 	switch {
 	case err != nil:
@@ -146,22 +152,32 @@
 		b.frees = make(map[string][]string)
 	}
 	b.frees[service] = append(b.frees[service], handles...)
+	wake(b.freed)
 }
 
-// Serve sends what is given back in batches until ctx ends.
+// Serve sends what is given back, a little later so that results of several requests share a call, until ctx ends.
 func (b *Broker) Serve(ctx context.Context) {
-	ticks := timer.Subscribe(ctx, freeEvery)
 	for {
 		select {
 		case <-ctx.Done():
 			b.group.Wait()
 			return
-		case <-ticks:
-			b.flush(ctx)
+		case <-b.freed:
+			if timer.Wait(ctx, freePause) == nil {
+				b.flush(ctx)
+			}
 		}
 	}
 }
 
+// wake fills a channel of one place.
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 func (b *Broker) flush(ctx context.Context) {
 	b.mu.Lock()
 	frees := b.frees
@@ -190,7 +206,7 @@
 	handles, err := b.Maker.Run(ctx, &Job{
 		Service: r.Service, RequestID: r.RequestId, Stage: int(r.Stage), Pieces: int(r.Pieces), Key: r.Key, Inputs: r.Inputs,
 		Due: now.Add(time.Duration(r.DueMs) * time.Millisecond), Deadline: now.Add(time.Duration(r.RemainingMs) * time.Millisecond),
-		Priority: int(r.Priority), DataCentre: r.DataCentre,
+		Priority: int(r.Priority), DataCentre: r.DataCentre, ResultBytes: r.ResultBytes,
 	})
 	switch {
 	case err == ErrInputsGone:
--- a/piece/maker.go
+++ b/piece/maker.go
@@ -1,6 +1,7 @@
 package piece
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -29,11 +30,11 @@
 	// firstPause is how long an endpoint that failed gets no call; it doubles with each failure in a row.
 	firstPause = 500 * time.Millisecond
 	mostPause  = 8 * time.Second
-	// farFactor makes an endpoint of another data centre dearer, as a factor on its predicted time.
-	farFactor = 1.15
+	// unconfirmedFactor leaves endpoints that no longer announce themselves for when there is no other.
+	unconfirmedFactor = 4
 	// speedWeight is the share of a new measurement in the learned speed.
 	speedWeight = 0.25
-	freeEvery   = 100 * time.Millisecond
+	freePause   = 25 * time.Millisecond
 	checkEvery  = 50 * time.Millisecond
 	answerBytes = 4 << 20
 )
@@ -46,7 +47,7 @@
 	Service(name string) *document.Service
 }
 
-// Maker makes jobs by calls to the endpoints of their services. Set the exported fields, then call Run.
+// Maker makes jobs by calls to the endpoints of their services.
 type Maker struct {
 	Services Services
 	Protocol Protocol
@@ -60,6 +61,8 @@
 	queues map[string]*queue
 	calls  map[connection.Key]*caller
 	frees  map[netip.AddrPort][]string
+	held   map[string]*result
+	freed  chan struct{}
 	group  sync.WaitGroup
 }
 
@@ -70,12 +73,29 @@
 	// slow is the learned factor on the described time of a call.
 	slow  float64
 	until time.Time
+	// used is the memory of the results that are known to be kept there.
+	used int64
 }
 
-// Serve wakes the queues until ctx ends.
+// result is a result that an endpoint keeps.
+type result struct {
+	holder  *caller
+	bytes   int64
+	expires time.Time
+}
+
+// NewMaker returns a maker.
+func NewMaker(services Services, protocol Protocol, pool *connection.Pool, budget *retry.Budget, clock timer.Clock, meter *telemetry.Meter, log event.Logger) *Maker {
+	return &Maker{
+		Services: services, Protocol: protocol, Pool: pool, Budget: budget, Clock: clock, Meter: meter, Log: log,
+		queues: make(map[string]*queue), calls: make(map[connection.Key]*caller), frees: make(map[netip.AddrPort][]string),
+		held: make(map[string]*result), freed: make(chan struct{}, 1),
+	}
+}
+
+// Serve wakes the queues and gives results back until ctx ends.
 func (m *Maker) Serve(ctx context.Context) {
 	checks := timer.Subscribe(ctx, checkEvery)
-	frees := timer.Subscribe(ctx, freeEvery)
 	for {
 		select {
 		case <-ctx.Done():
@@ -83,8 +103,10 @@
 			return
 		case <-checks:
 			m.dispatchAll()
-		case <-frees:
-			m.flushFrees(ctx)
+		case <-m.freed:
+			if timer.Wait(ctx, freePause) == nil {
+				m.flushFrees(ctx)
+			}
 		}
 	}
 }
@@ -92,10 +114,9 @@
 // Run returns the handles of a job's results in the order of its pieces.
 func (m *Maker) Run(ctx context.Context, j *Job) ([]string, error) {
 	now := m.Clock.Now()
-	p := newPending(ctx, j, now)
+	p := newPending(j, now, predict(m.Services.Service(j.Service), j.Pieces))
 	m.Budget.Request(now, j.Service)
 	m.mu.Lock()
-	m.init()
 	q := m.queues[j.Service]
 	if q == nil {
 		q = &queue{}
@@ -128,17 +149,18 @@
 	p.handles = nil
 }
 
-func (m *Maker) init() {
-	if m.queues == nil {
-		m.queues = make(map[string]*queue)
-		m.calls = make(map[connection.Key]*caller)
-		m.frees = make(map[netip.AddrPort][]string)
+// predict returns the described time of a call.
+func predict(s *document.Service, pieces int) time.Duration {
+	if s == nil || s.Batch == nil {
+		return 0
 	}
+	return time.Duration((s.Batch.CallMS + s.Batch.PieceMS*float64(min(pieces, s.Batch.Pieces))) * float64(time.Millisecond))
 }
 
 func (m *Maker) dispatchAll() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.expireHeld(m.Clock.Now())
 	for name, q := range m.queues {
 		m.dispatch(name, q)
 	}
@@ -152,43 +174,66 @@
 	if len(q.waiting) == 0 || s == nil || s.Batch == nil {
 		return
 	}
-	for len(q.waiting) > 0 {
-		free, c := m.free(now, s, q.waiting[0].job)
-		if c == nil {
-			return
-		}
-		share := int(math.Ceil(float64(len(q.waiting)) / float64(free)))
-		units := q.take(share, s.Batch.Pieces)
+	free, near := m.free(now, s)
+	for i, c := range free {
+		o := offer{now: now, dataCentre: c.DataCentre, near: near, most: s.Batch.Pieces, room: -1}
 		known := m.caller(key(c))
+		if s.Batch.ResultBytes > 0 {
+			o.room = max(0, s.Batch.ResultBytes-known.used)
+		}
+		rivals := 0
+		for _, other := range free[i:] {
+			if other.DataCentre == c.DataCentre {
+				rivals++
+			}
+		}
+		o.share = int(math.Ceil(float64(q.count(now, c.DataCentre, near)) / float64(rivals)))
+		units := q.take(o)
+		if len(units) == 0 {
+			continue
+		}
 		known.busy++
+		known.used += results(units)
 		m.group.Go(func() { m.call(s, c, known, units) })
 	}
 }
 
-// free returns how many endpoints may take a call, and the one that is predicted to make the job first.
-func (m *Maker) free(now time.Time, s *document.Service, j *pending) (int, *route.Candidate) {
-	var best *route.Candidate
-	bestCost, n := 0.0, 0
+// results returns the memory that the results of units take.
+func results(units []*unit) int64 {
+	n := int64(0)
+	for _, u := range units {
+		n += u.job.ResultBytes
+	}
+	return n
+}
+
+// free returns the endpoints that may take a call, the fastest first, and the data centres that have endpoints.
+func (m *Maker) free(now time.Time, s *document.Service) ([]*route.Candidate, map[string]bool) {
+	var out []*route.Candidate
+	near := make(map[string]bool)
 	candidates := m.Services.Endpoints(s.Name)
 	for i := range candidates {
 		c := &candidates[i]
 		known := m.caller(key(c))
-		if known.busy >= max(1, s.Batch.Slots) || now.Before(known.until) || !now.Before(c.Until) {
+		if now.Before(known.until) || !now.Before(c.Until) {
 			continue
 		}
-		n++
-		cost := known.slow
-		if c.DataCentre != j.DataCentre {
-			cost *= farFactor
+		if c.Confirmed {
+			near[c.DataCentre] = true
 		}
-		if !c.Confirmed {
-			cost *= 4
-		}
-		if best == nil || cost < bestCost {
-			best, bestCost = c, cost
+		if known.busy < max(1, s.Batch.Slots) {
+			out = append(out, c)
 		}
 	}
-	return n, best
+	slices.SortStableFunc(out, func(a, b *route.Candidate) int { return cmp.Compare(m.cost(a), m.cost(b)) })
+	return out, near
+}
+
+func (m *Maker) cost(c *route.Candidate) float64 {
+	if !c.Confirmed {
+		return m.caller(key(c)).slow * unconfirmedFactor
+	}
+	return m.caller(key(c)).slow
 }
 
 func key(c *route.Candidate) connection.Key {
@@ -207,7 +252,7 @@
 // call makes one call and hands out its results.
 func (m *Maker) call(s *document.Service, c *route.Candidate, known *caller, units []*unit) {
 	begun := m.Clock.Now()
-	predicted := time.Duration((s.Batch.CallMS + s.Batch.PieceMS*float64(len(units))) * float64(time.Millisecond))
+	predicted := predict(s, len(units))
 	patience := time.Duration(float64(predicted)*known.slow)*callPatience + callSlack
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
@@ -228,7 +273,8 @@
 	defer m.mu.Unlock()
 	known.busy--
 	m.judge(known, answer, err, took, predicted)
-	m.settle(s, answer, err, units)
+	known.used -= results(units)
+	m.settle(s, known, answer, err, units)
 	m.dispatch(s.Name, m.queues[s.Name])
 }
 
@@ -294,10 +340,14 @@
 }
 
 // settle hands out the results of a call, or puts its units back.
-func (m *Maker) settle(s *document.Service, a Answer, err error, units []*unit) {
+func (m *Maker) settle(s *document.Service, known *caller, a Answer, err error, units []*unit) {
 	var again []*unit
+	now := m.Clock.Now()
 	for i, u := range units {
 		result := itemResult(a, err, i)
+		if result.Reason == Made {
+			m.hold(known, result.Handle, u.job.ResultBytes, now.Add(time.Duration(s.Batch.KeepMS)*time.Millisecond))
+		}
 		if u.job.ended {
 			m.freeOne(result.Handle)
 			continue
@@ -319,6 +369,29 @@
 	m.retry(s, again)
 }
 
+// hold counts a result until it is given back or expires.
+func (m *Maker) hold(known *caller, handle string, bytes int64, expires time.Time) {
+	known.used += bytes
+	m.held[handle] = &result{holder: known, bytes: bytes, expires: expires}
+}
+
+// release takes a result off the count of its endpoint.
+func (m *Maker) release(handle string) {
+	if r := m.held[handle]; r != nil {
+		r.holder.used -= r.bytes
+		delete(m.held, handle)
+	}
+}
+
+// expireHeld forgets results that their endpoints no longer keep, and endpoints that are gone.
+func (m *Maker) expireHeld(now time.Time) {
+	for handle, r := range m.held {
+		if now.After(r.expires) {
+			m.release(handle)
+		}
+	}
+}
+
 func itemResult(a Answer, err error, item int) Result {
 	switch {
 	case errors.Is(err, connection.ErrFull) || a.NotRun:
@@ -357,7 +430,6 @@
 func (m *Maker) Free(_ string, handles []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.init()
 	for _, h := range handles {
 		m.freeOne(h)
 	}
@@ -373,6 +445,7 @@
 		return
 	}
 	m.frees[addr] = append(m.frees[addr], handle)
+	wake(m.freed)
 }
 
 // flushFrees sends what is to be given back, one call an endpoint. A result that cannot be given back expires by itself.
@@ -413,7 +486,14 @@
 	}
 	if err != nil {
 		m.Log.Log(event.ResultNotFreed, "handle", handles[0], "error", err.Error())
+		return
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, h := range handles {
+		m.release(h)
+	}
+	m.dispatch(s.Name, m.queues[s.Name])
 }
 
 // finish reads an answer whose content does not matter.
--- a/piece/piece.go
+++ b/piece/piece.go
@@ -24,8 +24,10 @@
 	Due      time.Time
 	Deadline time.Time
 	Priority int
-	// DataCentre is where the results are preferred to be.
+	// DataCentre is where the pieces should be made, empty where it does not matter.
 	DataCentre string
+	// ResultBytes is the approximate size of one result.
+	ResultBytes int64
 }
 
 // Item is one piece in a call.
--- a/piece/queue.go
+++ b/piece/queue.go
@@ -1,7 +1,6 @@
 package piece
 
 import (
-	"context"
 	"slices"
 	"time"
 )
@@ -12,14 +11,15 @@
 // pending is a job that is being made.
 type pending struct {
 	*Job
-	ctx     context.Context
 	handles []string
 	left    int
 	// ended is true once the result was given to the caller.
 	ended bool
 	done  chan error
-	// queued is when the job came, for its log line.
+	// queued is when the job came.
 	queued time.Time
+	// predicted is the time of a call for the job alone.
+	predicted time.Duration
 }
 
 // unit is one piece that waits or is in a call.
@@ -29,8 +29,8 @@
 	tries int
 }
 
-func newPending(ctx context.Context, j *Job, now time.Time) *pending {
-	return &pending{Job: j, ctx: ctx, handles: make([]string, j.Pieces), left: j.Pieces, done: make(chan error, 1), queued: now}
+func newPending(j *Job, now time.Time, predicted time.Duration) *pending {
+	return &pending{Job: j, handles: make([]string, j.Pieces), left: j.Pieces, done: make(chan error, 1), queued: now, predicted: predicted}
 }
 
 func (p *pending) units() []*unit {
@@ -60,20 +60,37 @@
 	slices.SortStableFunc(q.waiting, func(a, b *unit) int { return compare(now, a.job, b.job) })
 }
 
-// compare orders jobs: those that can still meet their objective by its end, then the others by their rank.
+// compare orders jobs: those that can still meet their objective before the others, then by rank and by objective.
 func compare(now time.Time, a, b *pending) int {
-	lateA, lateB := a.Due.Before(now), b.Due.Before(now)
+	lateA, lateB := a.late(now), b.late(now)
 	switch {
 	case lateA != lateB && lateB:
 		return -1
 	case lateA != lateB:
 		return 1
-	case lateA && a.Priority != b.Priority:
+	case a.Priority != b.Priority:
 		return a.Priority - b.Priority
 	}
 	return a.Due.Compare(b.Due)
 }
 
+// late reports whether the job can no longer be made before the objective of its request ends.
+func (p *pending) late(now time.Time) bool {
+	return p.Due.Before(now.Add(p.predicted))
+}
+
+// spillShare is the part of the time to a job's objective that it waits for an endpoint of its own data centre.
+const spillShare = 0.35
+
+// takes reports whether an endpoint of a data centre may make the job now. Far endpoints cost traffic between data
+// centres, so that they get it only once it has waited.
+func (p *pending) takes(now time.Time, dataCentre string, near map[string]bool) bool {
+	if p.DataCentre == "" || p.DataCentre == dataCentre || !near[p.DataCentre] {
+		return true
+	}
+	return now.Sub(p.queued) > time.Duration(spillShare*float64(p.Due.Sub(p.queued)))
+}
+
 // expire ends the jobs whose time is over and drops the units of all jobs that ended.
 func (q *queue) expire(now time.Time) {
 	q.waiting = slices.DeleteFunc(q.waiting, func(u *unit) bool {
@@ -84,14 +101,46 @@
 	})
 }
 
-// take removes up to n units from the front, and the rest of the first job if it has more, up to most.
-func (q *queue) take(n, most int) []*unit {
-	first := 0
-	for first < len(q.waiting) && q.waiting[first].job == q.waiting[0].job {
-		first++
+// offer is what an endpoint can take of a queue.
+type offer struct {
+	now        time.Time
+	dataCentre string
+	// near has the data centres with endpoints of the service.
+	near map[string]bool
+	// share is how many pieces the endpoint is given, rounded up to whole jobs; most is what it can take.
+	share, most int
+	// room is its memory for results, negative for no limit.
+	room int64
+}
+
+// take removes the units that an endpoint gets, the most urgent first.
+func (q *queue) take(o offer) []*unit {
+	var out []*unit
+	var last *pending
+	rest := q.waiting[:0:0]
+	for _, u := range q.waiting {
+		enough := len(out) >= o.most || (len(out) >= o.share && u.job != last)
+		if enough || !u.job.takes(o.now, o.dataCentre, o.near) || (o.room >= 0 && u.job.ResultBytes > o.room) {
+			rest = append(rest, u)
+			continue
+		}
+		out = append(out, u)
+		last = u.job
+		if o.room >= 0 {
+			o.room -= u.job.ResultBytes
+		}
 	}
-	n = min(max(n, first), most, len(q.waiting))
-	out := slices.Clone(q.waiting[:n])
-	q.waiting = slices.Delete(q.waiting, 0, n)
+	q.waiting = rest
 	return out
 }
+
+// count returns how many units an endpoint of a data centre may make now.
+func (q *queue) count(now time.Time, dataCentre string, near map[string]bool) int {
+	n := 0
+	for _, u := range q.waiting {
+		if u.job.takes(now, dataCentre, near) {
+			n++
+		}
+	}
+	return n
+}
--- a/route/policy.go
+++ b/route/policy.go
@@ -13,6 +13,8 @@
 	Model      string
 	// Avoid lists endpoints that this request tried already.
 	Avoid []string
+	// InputBytes is the size of the inputs that the endpoint fetches from each data centre.
+	InputBytes map[string]int64
 }
 
 // Policy chooses one of the candidates, or -1 if none may take the call.
--- a/route/prefix.go
+++ b/route/prefix.go
@@ -28,8 +28,10 @@
 	// homeShare is the part of a prompt's shared tokens that its home endpoint is taken to have cached, since the other
 	// VMs send the same prompts there.
 	homeShare = 0.8
-	// farTokens makes an endpoint of another data centre dearer.
-	farTokens = 40
+	// farTokens makes an endpoint of another data centre dearer, farTokensPerMB each MB of inputs from another one. Both
+	// weigh the price of traffic between data centres against that of reading a shared token again.
+	farTokens      = 40
+	farTokensPerMB = 155
 	// unconfirmedTokens leaves endpoints that no longer announce themselves for when there is no other.
 	unconfirmedTokens = 1e6
 	shedTokens        = 2e6
@@ -91,6 +93,11 @@
 		if c.DataCentre != q.DataCentre {
 			cost += farTokens
 		}
+		for dataCentre, n := range q.InputBytes {
+			if dataCentre != c.DataCentre {
+				cost += farTokensPerMB * float64(n) / (1 << 20)
+			}
+		}
 		if best < 0 || cost < bestCost {
 			best, bestCost, bestUncached = i, cost, total-cached
 		}
