piece: agree on the VM that makes pieces, and finish jobs once begun

Change: jobs move once another VM has owned the service for longer than an exchange; a job is begun only where all of it fits and then goes first; results are given back as soon as their stage is done; calls that were not sent are no tries, and repeats wait for the budget; calls that may be repeated are sent elsewhere when they stand still.

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -111,6 +111,11 @@
 	return r != nil && !r.Close && c.reader.Buffered() == 0 && c.wrote.Load()
 }
 
+// Abort ends the call that is in flight with an error. Unlike Close it may be called from another goroutine.
+func (c *Conn) Abort() {
+	_ = c.raw.Close()
+}
+
 // Close closes the connection, which cancels the call at the endpoint.
 func (c *Conn) Close() {
 	if c.stop != nil {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"godwitplank/event"
 	"godwitplank/fault"
 	"godwitplank/route"
+	"godwitplank/timer"
 )
 
 // Limits of the attempts of a request.
@@ -23,6 +24,13 @@
 	answerBytes = 64 << 20
 	// refusedRetryAfter is when endpoints that were full are likely to have room.
 	refusedRetryAfter = 500 * time.Millisecond
+	// usualPatience is how many times its usual latency an endpoint may take, and at least the times below, before a
+	// request that may be repeated is sent to another one.
+	usualPatience       = 4
+	leastPatience       = 250 * time.Millisecond
+	leastEnginePatience = 1200 * time.Millisecond
+	// gapPatience is how many times the longest pause of the objective a stream that may be resumed may stand still.
+	gapPatience = 2
 	// retryMargin is the least time left for which a request is sent once more.
 	retryMargin = 50 * time.Millisecond
 )
@@ -43,7 +51,8 @@
 	begun     time.Time
 	stretch   float64
 	uncached  int
-	sent      bool
+	// alarm ends a call that may be repeated elsewhere and takes much too long; nil for the others.
+	alarm *timer.Alarm
 }
 
 // outcome is what became of an attempt.
@@ -185,6 +194,10 @@
 		return outcome{err: err}
 	}
 	a.conn = conn
+	if patience := g.patience(x, a); patience > 0 {
+		a.alarm = timer.NewAlarm(patience, conn.Abort)
+		defer a.alarm.Stop()
+	}
 	call := g.Protocol.Call(&Call{
 		Request: x.Request, Endpoint: c.ID, Workspace: x.workspace, Remaining: x.deadline.Sub(g.Clock.Now()),
 		Inputs: x.inputs, Staged: len(x.route.Stages) > 0, LastEvent: x.LastEvent,
@@ -202,6 +215,20 @@
 	return g.take(x, a, r, answer)
 }
 
+// patience returns how long an endpoint may take for the first byte of its answer before the request is sent to
+// another one, 0 where it may not.
+func (g *Gateway) patience(x *exchange, a *attempt) time.Duration {
+	if !x.route.MayRepeat() || x.ran+1 >= x.route.Attempts() || g.Budget.Left(a.begun, x.service.Name, len(x.view.Entries)) <= 0 {
+		return 0
+	}
+	usual := time.Duration(float64(a.candidate.Stat.Latency()) * a.stretch)
+	least := leastPatience
+	if x.service.Engine != nil {
+		least = leastEnginePatience
+	}
+	return max(least, usualPatience*usual)
+}
+
 // connections returns how many connections to an endpoint this VM may have.
 func (g *Gateway) connections(x *exchange) int {
 	if x.service.MaxConnections == 0 {
--- a/gateway/stage.go
+++ b/gateway/stage.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
+	"sync/atomic"
 
 	"godwitplank/document"
 	"godwitplank/event"
@@ -15,11 +17,20 @@
 type stagePlan struct {
 	handles [][]string
 	done    []chan struct{}
+	freed   []atomic.Bool
 }
 
 // makeStages has the stages made, each as soon as those that it needs are done. Results that another stage has taken
 // are given back at once, the others after the request.
 func (g *Gateway) makeStages(ctx context.Context, x *exchange) error {
+	err := g.makeOnce(ctx, x)
+	if errors.Is(err, piece.ErrInputsGone) {
+		err = g.makeOnce(ctx, x)
+	}
+	return err
+}
+
+func (g *Gateway) makeOnce(ctx context.Context, x *exchange) error {
 	stages := x.route.Stages
 	if len(stages) == 0 {
 		return nil
@@ -28,7 +39,7 @@
 	x.home = g.homeOf(x)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	plan := &stagePlan{handles: make([][]string, len(stages)), done: make([]chan struct{}, len(stages))}
+	plan := &stagePlan{handles: make([][]string, len(stages)), done: make([]chan struct{}, len(stages)), freed: make([]atomic.Bool, len(stages))}
 	for i := range stages {
 		plan.done[i] = make(chan struct{})
 	}
@@ -38,7 +49,9 @@
 			defer close(plan.done[i])
 			if err := g.makeStage(ctx, x, plan, i); err != nil {
 				cancel(err)
+				return
 			}
+			g.freeBefore(x, plan, i)
 		})
 	}
 	group.Wait()
@@ -49,11 +62,12 @@
 	}
 	x.inputs, x.inputBytes = nil, make(map[string]int64)
 	for i, last := range finals(stages) {
+		if !last && !plan.freed[i].Load() {
+			g.Pieces.Free(stages[i].Service, plan.handles[i])
+		}
 		if last {
 			x.inputs = append(x.inputs, plan.handles[i]...)
 			g.countBytes(x, i, plan.handles[i], 1, x.inputBytes)
-		} else {
-			g.Pieces.Free(stages[i].Service, plan.handles[i])
 		}
 	}
 	return nil
@@ -96,6 +110,27 @@
 	return err
 }
 
+// freeBefore gives back the results that only a stage that is done has taken.
+func (g *Gateway) freeBefore(x *exchange, plan *stagePlan, done int) {
+	for _, before := range x.route.Stages[done].After {
+		if users(x.route.Stages, before) == 1 && len(plan.handles[before]) > 0 {
+			g.Pieces.Free(x.route.Stages[before].Service, plan.handles[before])
+			plan.freed[before].Store(true)
+		}
+	}
+}
+
+// users returns how many stages take the results of one.
+func users(stages []document.RouteStage, i int) int {
+	n := 0
+	for _, s := range stages {
+		if slices.Contains(s.After, i) {
+			n++
+		}
+	}
+	return n
+}
+
 // heavyBytes is the size from which results should not cross data centres.
 const heavyBytes = 1 << 20
 
@@ -207,7 +242,7 @@
 
 func (g *Gateway) freeAll(x *exchange, plan *stagePlan) {
 	for i, handles := range plan.handles {
-		if len(handles) > 0 {
+		if len(handles) > 0 && !plan.freed[i].Load() {
 			g.Pieces.Free(x.route.Stages[i].Service, handles)
 		}
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 )
 
 // maxEventBytes bounds one event of a stream.
@@ -52,8 +53,12 @@
 func (g *Gateway) stream(x *exchange, a *attempt, r *http.Response) outcome {
 	reader := bufio.NewReader(r.Body)
 	flusher := http.NewResponseController(x.w)
+	gap := gapPatience * time.Duration(x.route.TargetGapMS) * time.Millisecond
 	for {
 		e, err := readEvent(reader)
+		if gap > 0 {
+			a.alarm.Move(gap)
+		}
 		if errors.Is(err, io.EOF) {
 			a.conn.Release(r)
 			if x.first.IsZero() {
--- a/piece/broker.go
+++ b/piece/broker.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"hash/fnv"
 	"slices"
 	"sync"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"godwitplank/event"
 	"godwitplank/fault"
 	"godwitplank/link"
@@ -17,6 +21,10 @@
 const (
 	// watchPause is how often a VM looks whether the VM that makes its job is still alive.
 	watchPause = 250 * time.Millisecond
+	// movePause is how often a VM looks whether it still makes the jobs that wait.
+	movePause = 100 * time.Millisecond
+	// moveAfter is longer than the time between two exchanges of the VMs, so that all know the new owner by then.
+	moveAfter = 800 * time.Millisecond
 	// suspectFor is how long a VM that failed to make a job gets no other.
 	suspectFor = 2 * time.Second
 )
@@ -42,27 +50,52 @@
 	suspects map[string]time.Time
 	frees    map[string][]string
 	freed    chan struct{}
-	group    sync.WaitGroup
+	// owned is when this VM last owned each service; it belongs to Serve.
+	owned map[string]time.Time
+	group sync.WaitGroup
 }
 
 // NewBroker returns a broker of a VM.
 func NewBroker(vm string, links Links, maker *Maker, clock timer.Clock, log event.Logger) *Broker {
-	return &Broker{VM: vm, Links: links, Maker: maker, Clock: clock, Log: log, freed: make(chan struct{}, 1)}
+	return &Broker{VM: vm, Links: links, Maker: maker, Clock: clock, Log: log, freed: make(chan struct{}, 1), owned: make(map[string]time.Time)}
 }
 
+// mostOwners is how many VMs are asked for a job before it is made here.
+const mostOwners = 6
+
 // Run has a job made by the VM of its service, or here.
 func (b *Broker) Run(ctx context.Context, j *Job) ([]string, error) {
-	owner := b.owner(j.Service)
+	for range mostOwners {
+		owner := b.owner(j.Service)
+		handles, err := b.runAt(ctx, owner, j)
+		if err == nil || (fault.Is(err) && !errors.Is(err, ErrMoved)) || ctx.Err() != nil {
+			return handles, err
+		}
+		if moved(err) {
+			// The views of the VMs differ until their next exchange.
+			if timer.Wait(ctx, movePause) != nil {
+				return nil, context.Cause(ctx)
+			}
+		} else {
+			b.suspect(owner)
+		}
+		b.Log.Log(event.MakerFailed, "request_id", j.RequestID, "service", j.Service, "peer", owner, "error", err.Error())
+	}
+	here := *j
+	here.Here = true
+	return b.Maker.Run(ctx, &here)
+}
+
+// moved reports whether a VM answered that it no longer makes the service's pieces.
+func moved(err error) bool {
+	return errors.Is(err, ErrMoved) || status.Code(err) == codes.FailedPrecondition
+}
+
+func (b *Broker) runAt(ctx context.Context, owner string, j *Job) ([]string, error) {
 	if owner == b.VM {
 		return b.Maker.Run(ctx, j)
 	}
-	handles, err := b.ask(ctx, owner, j)
-	if err == nil || fault.Is(err) || ctx.Err() != nil {
-		return handles, err
-	}
-	b.suspect(owner)
-	b.Log.Log(event.MakerFailed, "request_id", j.RequestID, "service", j.Service, "peer", owner, "error", err.Error())
-	return b.Maker.Run(ctx, j)
+	return b.ask(ctx, owner, j)
 }
 
 // owner returns the VM that makes a service's jobs by rendezvous hashing over the VMs that are alive.
@@ -155,13 +188,17 @@
 	wake(b.freed)
 }
 
-// Serve sends what is given back, a little later so that results of several requests share a call, until ctx ends.
+// Serve sends what is given back, a little later so that results of several requests share a call, and has jobs moved
+// that another VM makes now, until ctx ends.
 func (b *Broker) Serve(ctx context.Context) {
+	moves := timer.Subscribe(ctx, movePause)
 	for {
 		select {
 		case <-ctx.Done():
 			b.group.Wait()
 			return
+		case <-moves:
+			b.moveAll()
 		case <-b.freed:
 			if timer.Wait(ctx, freePause) == nil {
 				b.flush(ctx)
@@ -170,6 +207,18 @@
 	}
 }
 
+// moveAll has the jobs moved of services that another VM has owned for some time.
+func (b *Broker) moveAll() {
+	now := b.Clock.Now()
+	for _, service := range b.Maker.Known() {
+		if b.owner(service) == b.VM {
+			b.owned[service] = now
+		} else if now.Sub(b.owned[service]) > moveAfter {
+			b.Maker.Move(service)
+		}
+	}
+}
+
 // wake fills a channel of one place.
 func wake(c chan struct{}) {
 	select {
@@ -194,7 +243,7 @@
 			ctx, cancel := context.WithTimeout(ctx, callSlack)
 			defer cancel()
 			if _, err := client.FreePieces(ctx, &link.FreePiecesRequest{Service: service, Handles: handles}); err != nil {
-				b.Log.Log(event.ResultNotFreed, "handle", handles[0], "error", err.Error())
+				b.Maker.Free(service, handles)
 			}
 		})
 	}
@@ -209,7 +258,9 @@
 		Priority: int(r.Priority), DataCentre: r.DataCentre, ResultBytes: r.ResultBytes,
 	})
 	switch {
-	case err == ErrInputsGone:
+	case errors.Is(err, ErrMoved):
+		return nil, status.Error(codes.FailedPrecondition, err.Error())
+	case errors.Is(err, ErrInputsGone):
 		return &link.RunPiecesReply{InputsGone: true}, nil
 	case err != nil:
 		return &link.RunPiecesReply{Refused: err.Error()}, nil
--- a/piece/maker.go
+++ b/piece/maker.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"net/netip"
 	"slices"
@@ -25,8 +26,8 @@
 	// A call is given up after callPatience times its predicted time and callSlack.
 	callPatience = 3
 	callSlack    = 600 * time.Millisecond
-	// fullPause is how long an endpoint that has no room, or takes no call, gets none.
-	fullPause = 120 * time.Millisecond
+	// fullPause is how long an endpoint that has no room, or takes no call, gets none: about half a call.
+	fullPause = 150 * time.Millisecond
 	// firstPause is how long an endpoint that failed gets no call; it doubles with each failure in a row.
 	firstPause = 500 * time.Millisecond
 	mostPause  = 8 * time.Second
@@ -34,6 +35,8 @@
 	unconfirmedFactor = 4
 	// speedWeight is the share of a new measurement in the learned speed.
 	speedWeight = 0.25
+	// roomShare is the part of an endpoint's memory for results that is planned with, as their sizes are approximate.
+	roomShare   = 0.9
 	freePause   = 25 * time.Millisecond
 	checkEvery  = 50 * time.Millisecond
 	answerBytes = 4 << 20
@@ -111,6 +114,28 @@
 	}
 }
 
+// Move ends what waits for a service and is not begun, so that it is made elsewhere. Calls in flight go on.
+func (m *Maker) Move(service string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	q := m.queues[service]
+	if q == nil {
+		return
+	}
+	for _, u := range q.waiting {
+		if !u.job.begun && !u.job.Here {
+			u.job.end(ErrMoved)
+		}
+	}
+}
+
+// Known returns the services that this maker had jobs of.
+func (m *Maker) Known() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Collect(maps.Keys(m.queues))
+}
+
 // Run returns the handles of a job's results in the order of its pieces.
 func (m *Maker) Run(ctx context.Context, j *Job) ([]string, error) {
 	now := m.Clock.Now()
@@ -179,7 +204,8 @@
 		o := offer{now: now, dataCentre: c.DataCentre, near: near, most: s.Batch.Pieces, room: -1}
 		known := m.caller(key(c))
 		if s.Batch.ResultBytes > 0 {
-			o.room = max(0, s.Batch.ResultBytes-known.used)
+			o.room = max(0, int64(roomShare*float64(s.Batch.ResultBytes))-known.used)
+			o.empty = known.used <= 0
 		}
 		rivals := 0
 		for _, other := range free[i:] {
@@ -188,10 +214,14 @@
 			}
 		}
 		o.share = int(math.Ceil(float64(q.count(now, c.DataCentre, near)) / float64(rivals)))
+		o.may = func(u *unit) bool { return m.pay(now, s.Name, u) }
 		units := q.take(o)
 		if len(units) == 0 {
 			continue
 		}
+		for _, u := range units {
+			u.paid = false
+		}
 		known.busy++
 		known.used += results(units)
 		m.group.Go(func() { m.call(s, c, known, units) })
@@ -268,7 +298,7 @@
 	m.Meter.Attempt(s.Name, "batch", outcome(answer, err), took)
 	m.Log.Log(event.PiecesMade, "service", s.Name, "endpoint", c.ID, "pieces", len(units), "first_request", units[0].job.RequestID,
 		"waited_ms", begun.Sub(units[0].job.queued).Milliseconds(), "took_ms", took.Milliseconds(), "predicted_ms", predicted.Milliseconds(),
-		"result", outcome(answer, err))
+		"without_room", count(answer, NoRoom), "result", outcome(answer, err))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	known.busy--
@@ -278,6 +308,16 @@
 	m.dispatch(s.Name, m.queues[s.Name])
 }
 
+func count(a Answer, reason Reason) int {
+	n := 0
+	for _, r := range a.Results {
+		if r.Reason == reason {
+			n++
+		}
+	}
+	return n
+}
+
 func outcome(a Answer, err error) string {
 	switch {
 	case err != nil:
@@ -296,7 +336,7 @@
 func (m *Maker) send(ctx context.Context, s *document.Service, c *route.Candidate, call *connection.Call, items int) (Answer, error) {
 	conn, err := m.Pool.Open(ctx, key(c), c.Addr, s.MaxConnections)
 	if err != nil {
-		return Answer{}, err
+		return Answer{}, &unsentError{err}
 	}
 	if _, err := conn.Send(ctx, call); err != nil {
 		conn.Close()
@@ -320,6 +360,15 @@
 	return answer, err
 }
 
+// unsentError is a failure before anything was sent, so that no endpoint has counted the call.
+type unsentError struct {
+	error
+}
+
+func (e *unsentError) Unwrap() error {
+	return e.error
+}
+
 // judge learns of an endpoint from a call.
 func (m *Maker) judge(known *caller, a Answer, err error, took, predicted time.Duration) {
 	now := m.Clock.Now()
@@ -333,7 +382,7 @@
 	default:
 		known.failures = 0
 		known.slow += speedWeight * (float64(took)/float64(predicted) - known.slow)
-		if slices.ContainsFunc(a.Results, func(r Result) bool { return r.Reason == NoRoom }) {
+		if count(a, NoRoom) > 0 {
 			known.until = now.Add(fullPause)
 		}
 	}
@@ -366,7 +415,8 @@
 			again = append(again, u)
 		}
 	}
-	m.retry(s, again)
+	var unsent *unsentError
+	m.retry(s, again, errors.As(err, &unsent))
 }
 
 // hold counts a result until it is given back or expires.
@@ -393,8 +443,9 @@
 }
 
 func itemResult(a Answer, err error, item int) Result {
+	var unsent *unsentError
 	switch {
-	case errors.Is(err, connection.ErrFull) || a.NotRun:
+	case a.NotRun || errors.As(err, &unsent):
 		return Result{Reason: NoRoom}
 	case err != nil:
 		return Result{Reason: Broken}
@@ -410,15 +461,17 @@
 	}
 }
 
-// retry puts units back while the budget allows it.
-func (m *Maker) retry(s *document.Service, units []*unit) {
+// retry puts units back. Those that an endpoint has counted go on only as the budget allows.
+func (m *Maker) retry(s *document.Service, units []*unit, unsent bool) {
 	now := m.Clock.Now()
 	var again []*unit
 	for _, u := range units {
-		if u.tries >= mostTries || !m.Budget.Take(now, s.Name, 1) {
+		if u.tries >= mostTries {
 			u.job.end(ErrTries)
 			continue
 		}
+		u.paid = u.paid || unsent
+		u.repeated = true
 		again = append(again, u)
 	}
 	if len(again) > 0 {
@@ -426,6 +479,15 @@
 	}
 }
 
+// pay takes what repeated units cost from the budget; false where it does not suffice now.
+func (m *Maker) pay(now time.Time, service string, u *unit) bool {
+	if !u.repeated || u.paid {
+		return true
+	}
+	u.paid = m.Budget.Take(now, service, 1)
+	return u.paid
+}
+
 // Free gives results back soon.
 func (m *Maker) Free(_ string, handles []string) {
 	m.mu.Lock()
--- a/piece/piece.go
+++ b/piece/piece.go
@@ -26,6 +26,8 @@
 	Priority int
 	// DataCentre is where the pieces should be made, empty where it does not matter.
 	DataCentre string
+	// Here is set where no other VM is left that could make the job.
+	Here bool
 	// ResultBytes is the approximate size of one result.
 	ResultBytes int64
 }
@@ -94,5 +96,6 @@
 var (
 	ErrLate       = fault.New(fault.DeadlineExceeded, "the stage could not be made within the deadline; give more time or send fewer requests")
 	ErrInputsGone = fault.New(fault.StageFailed, "a result of an earlier stage no longer exists; it has to be made again")
+	ErrMoved      = fault.New(fault.Stopping, "this VM makes no pieces of the service any more; ask the VM that does")
 	ErrTries      = fault.New(fault.StageFailed, "the endpoints of the stage failed several times; look at their logs")
 )
--- a/piece/queue.go
+++ b/piece/queue.go
@@ -20,6 +20,8 @@
 	queued time.Time
 	// predicted is the time of a call for the job alone.
 	predicted time.Duration
+	// begun is true once a piece was given to an endpoint.
+	begun bool
 }
 
 // unit is one piece that waits or is in a call.
@@ -27,6 +29,8 @@
 	job   *pending
 	piece int
 	tries int
+	// repeated units went to an endpoint before; paid ones are covered by the budget for the next call.
+	repeated, paid bool
 }
 
 func newPending(j *Job, now time.Time, predicted time.Duration) *pending {
@@ -60,10 +64,15 @@
 	slices.SortStableFunc(q.waiting, func(a, b *unit) int { return compare(now, a.job, b.job) })
 }
 
-// compare orders jobs: those that can still meet their objective before the others, then by rank and by objective.
+// compare orders jobs: those that were begun, whose results take memory until the last one is made, then those that can
+// still meet their objective before the others, then by rank and by objective.
 func compare(now time.Time, a, b *pending) int {
 	lateA, lateB := a.late(now), b.late(now)
 	switch {
+	case a.begun != b.begun && a.begun:
+		return -1
+	case a.begun != b.begun:
+		return 1
 	case lateA != lateB && lateB:
 		return -1
 	case lateA != lateB:
@@ -111,6 +120,23 @@
 	share, most int
 	// room is its memory for results, negative for no limit.
 	room int64
+	// empty is true for an endpoint without results.
+	empty bool
+	// may reports whether a unit may be sent now.
+	may func(u *unit) bool
+}
+
+// fits reports whether the endpoint has memory for a piece. A job is begun only where all of it fits: one that waits
+// for memory half made would hold memory that others need. A job larger than the memory is begun where there is most.
+func (o *offer) fits(u *unit, last *pending) bool {
+	if o.room < 0 {
+		return true
+	}
+	needed := u.job.ResultBytes
+	if u.job != last && !u.job.begun {
+		needed *= int64(min(u.job.left, o.most))
+	}
+	return needed <= o.room || (o.empty && u.job != last)
 }
 
 // take removes the units that an endpoint gets, the most urgent first.
@@ -120,12 +146,13 @@
 	rest := q.waiting[:0:0]
 	for _, u := range q.waiting {
 		enough := len(out) >= o.most || (len(out) >= o.share && u.job != last)
-		if enough || !u.job.takes(o.now, o.dataCentre, o.near) || (o.room >= 0 && u.job.ResultBytes > o.room) {
+		if enough || !u.job.takes(o.now, o.dataCentre, o.near) || !o.fits(u, last) || !o.may(u) {
 			rest = append(rest, u)
 			continue
 		}
 		out = append(out, u)
 		last = u.job
+		u.job.begun = true
 		if o.room >= 0 {
 			o.room -= u.job.ResultBytes
 		}
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -40,3 +40,27 @@
 		return ctx.Err()
 	}
 }
+
+// Alarm runs a function unless it is moved or stopped first.
+type Alarm struct {
+	timer *time.Timer
+}
+
+// NewAlarm returns an alarm that runs a function after a duration.
+func NewAlarm(d time.Duration, run func()) *Alarm {
+	return &Alarm{time.AfterFunc(d, run)}
+}
+
+// Move sets the alarm to a duration from now.
+func (a *Alarm) Move(d time.Duration) {
+	if a != nil {
+		a.timer.Reset(d)
+	}
+}
+
+// Stop stops the alarm.
+func (a *Alarm) Stop() {
+	if a != nil {
+		a.timer.Stop()
+	}
+}
