--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,6 +47,9 @@
 // defaultBodyBytes bounds a body where the document does not.
 const defaultBodyBytes = 4 << 20
 
+// rankSpan is larger than the ranks of routes, so that a workspace's rank goes before them.
+const rankSpan = 1000
+
 // exchange is one request while it is served.
 type exchange struct {
 	*Request
@@ -140,7 +143,7 @@
 	}
 	x.workspace = owner.Name
 	if owner.RanksRequests {
-		x.priority = owner.Priority
+		x.priority += rankSpan * owner.Priority
 	}
 	return nil
 }
