--- /dev/null
+++ b/connection/pool_test.go
@@ -0,0 +1,210 @@
+package connection
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"godwitplank/timer"
+)
+
+var key = Key{ID: "e", Incarnation: 1}
+
+// listen serves each connection by a function until the test ends.
+func listen(t *testing.T, serve func(c net.Conn, r *bufio.Reader)) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group sync.WaitGroup
+	group.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			group.Go(func() {
+				defer c.Close()
+				serve(c, bufio.NewReader(c))
+			})
+		}
+	})
+	t.Cleanup(func() { _ = l.Close() })
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// answering reads requests and writes the same answer to each.
+func answering(answer string) func(c net.Conn, r *bufio.Reader) {
+	return func(c net.Conn, r *bufio.Reader) {
+		for {
+			request, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			buffer := make([]byte, 1<<20)
+			for {
+				if _, err := request.Body.Read(buffer); err != nil {
+					break
+				}
+			}
+			_, _ = c.Write([]byte(answer))
+		}
+	}
+}
+
+func exchange(p *Pool, addr netip.AddrPort, call *Call) (*http.Response, string, bool, error) {
+	c, err := p.Open(context.Background(), key, addr, 2)
+	if err != nil {
+		return nil, "", false, err
+	}
+	if _, err := c.Send(context.Background(), call); err != nil {
+		c.Close()
+		return nil, "", c.Reused, err
+	}
+	r, err := c.Receive(call.Method)
+	if err != nil {
+		c.Close()
+		return nil, "", c.Reused, err
+	}
+	body, err := ReadBody(r, 1<<20)
+	if err != nil {
+		c.Close()
+		return r, "", c.Reused, err
+	}
+	c.Release(r)
+	return r, string(body), c.Reused, nil
+}
+
+var get = &Call{Method: http.MethodGet, Target: "/a?b", Host: "h", Header: http.Header{"X": {"1"}}}
+
+// What is on the wire decides whether a connection is used again.
+func TestReuse(t *testing.T) {
+	for _, c := range []struct {
+		name, answer string
+		body         string
+		reused       bool
+		fails        bool
+	}{
+		{"a whole answer", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "ok", true, false},
+		{"an informational answer before", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "ok", true, false},
+		{"an answer that closes", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", "ok", false, false},
+		{"more bytes than the answer", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno", "ok", false, false},
+		{"an idle time that is over at once", "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0.001\r\nContent-Length: 2\r\n\r\nok", "ok", false, false},
+		{"no answer in the protocol", "what is this\r\n\r\n", "", false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := &Pool{Clock: timer.System}
+			addr := listen(t, answering(c.answer))
+			for i := range 3 {
+				_, body, reused, err := exchange(p, addr, get)
+				is.Equal(err != nil, c.fails)
+				is.Equal(body, c.body)
+				is.Equal(reused, i > 0 && c.reused)
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+}
+
+// A connection that the endpoint closed while it was idle is not used again.
+func TestClosedWhileIdle(t *testing.T) {
+	is := is.New(t)
+	p := &Pool{Clock: timer.System}
+	addr := listen(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	})
+	for range 3 {
+		_, body, reused, err := exchange(p, addr, get)
+		is.NoErr(err)
+		is.Equal(body, "ok")
+		is.True(!reused)
+		for begun := time.Now(); p.Connections(key) > 0; time.Sleep(time.Millisecond) {
+			is.True(time.Since(begun) < 5*time.Second)
+		}
+	}
+}
+
+// A cut answer is an error, never a shorter body.
+func TestCutAnswer(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nok",
+		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			addr := listen(t, func(c net.Conn, r *bufio.Reader) {
+				_, _ = http.ReadRequest(r)
+				_, _ = c.Write([]byte(answer))
+			})
+			p := &Pool{Clock: timer.System}
+			_, _, _, err := exchange(p, addr, get)
+			is.True(err != nil)
+			is.Equal(p.Connections(key), 0)
+		})
+	}
+}
+
+// A large call that is answered before it is read whole does not hang, and its connection is not used again.
+func TestEarlyAnswer(t *testing.T) {
+	is := is.New(t)
+	addr := listen(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = c.Write([]byte("HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno"))
+		time.Sleep(100 * time.Millisecond)
+	})
+	p := &Pool{Clock: timer.System}
+	large := &Call{Method: http.MethodPost, Target: "/", Host: "h", Body: []byte(strings.Repeat("x", 32<<20))}
+	r, body, _, err := exchange(p, addr, large)
+	is.NoErr(err)
+	is.Equal(r.StatusCode, 413)
+	is.Equal(body, "no")
+	is.Equal(p.Connections(key), 0)
+}
+
+func TestLimits(t *testing.T) {
+	is := is.New(t)
+	p := &Pool{Clock: timer.System}
+	addr := listen(t, answering("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	a, err := p.Open(context.Background(), key, addr, 2)
+	is.NoErr(err)
+	_, err = p.Open(context.Background(), key, addr, 2)
+	is.NoErr(err)
+	_, err = p.Open(context.Background(), key, addr, 2)
+	is.Equal(err, ErrFull)
+	a.Close()
+	_, err = p.Open(context.Background(), key, addr, 2)
+	is.NoErr(err)
+}
+
+// A call ends with its context.
+func TestCancel(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan struct{})
+	addr := listen(t, func(_ net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = r.ReadByte()
+		close(ended)
+	})
+	p := &Pool{Clock: timer.System}
+	ctx, cancel := context.WithCancel(context.Background())
+	c, err := p.Open(ctx, key, addr, 2)
+	is.NoErr(err)
+	_, err = c.Send(ctx, get)
+	is.NoErr(err)
+	cancel()
+	_, err = c.Receive(http.MethodGet)
+	is.True(err != nil)
+	<-ended // the endpoint sees it
+	c.Close()
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -200,6 +200,8 @@
 
 // wait returns why the VM is to stop.
 func (d *Daemon) wait(ctx context.Context, failures <-chan error) (string, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	watch := timer.Subscribe(ctx, watchPause)
 	ready := false
 	reload := d.watchSettings(ctx)
--- /dev/null
+++ b/document/route_test.go
@@ -0,0 +1,93 @@
+package document
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"godwitplank/fault"
+)
+
+// routed returns a valid document with two routes and two services.
+func routed() *Document {
+	return &Document{
+		Version: 1,
+		Routes: []Route{
+			{Host: "a.example", PathPrefix: "/x/", Kind: Once, TimeoutMS: 1000, Services: []WeightedService{{"s", 1}}},
+			{Host: "a.example", PathPrefix: "/x/y/", Kind: Stream, Resume: true, TimeoutMS: 1000, Services: []WeightedService{{"s", 90}, {"t", 10}}},
+		},
+		Services:   []Service{{Name: "s"}, {Name: "t", Batch: &Batch{Pieces: 4}}},
+		Workspaces: []Workspace{{Name: "w", Unlimited: true, KeysSHA256: []string{SHA256([]byte("k1")), SHA256([]byte("k2"))}}},
+	}
+}
+
+func TestFindRoute(t *testing.T) {
+	is := is.New(t)
+	d := routed()
+	is.NoErr(d.Check())
+	for _, c := range []struct{ host, path, prefix string }{
+		{"a.example", "/x/1", "/x/"},
+		{"A.EXAMPLE", "/x/1", "/x/"},
+		{"a.example", "/x/y/1", "/x/y/"},
+		{"a.example", "/x/yz", "/x/"},
+		{"a.example", "/x", ""},
+		{"b.example", "/x/1", ""},
+	} {
+		got := ""
+		if r := d.FindRoute(c.host, c.path); r != nil {
+			got = r.PathPrefix
+		}
+		is.Equal(got, c.prefix) // the longest prefix of the host's routes
+	}
+	is.Equal(d.WorkspaceOf("k2").Name, "w")
+	is.Equal(d.WorkspaceOf("k3"), nil)
+	is.True(!d.Routes[0].MayRepeat())
+	is.True(d.Routes[1].MayRepeat())
+}
+
+func TestPick(t *testing.T) {
+	is := is.New(t)
+	r := &routed().Routes[1]
+	is.Equal(r.Pick(0), "s")
+	is.Equal(r.Pick(0.89), "s")
+	is.Equal(r.Pick(0.91), "t")
+	none := &Route{Services: []WeightedService{{"s", 0}, {"t", 1}}}
+	is.Equal(none.Pick(0), "t") // a weight of 0 gets nothing
+}
+
+// Every fault of routes and services is refused with its place.
+func TestRouteFaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(d *Document)
+		place  string
+	}{
+		"unknown service":       {func(d *Document) { d.Routes[0].Services[0].Service = "u" }, "routes[0].services[0]"},
+		"no services":           {func(d *Document) { d.Routes[0].Services = nil }, "routes[0].services"},
+		"weights of 0":          {func(d *Document) { d.Routes[0].Services[0].Weight = 0 }, "routes[0].services"},
+		"same host and prefix":  {func(d *Document) { d.Routes[1].PathPrefix = "/x/" }, "routes[1].path_prefix"},
+		"prefix without slash":  {func(d *Document) { d.Routes[0].PathPrefix = "/x" }, "routes[0].path_prefix"},
+		"no timeout":            {func(d *Document) { d.Routes[0].TimeoutMS = 0 }, "routes[0].timeout_ms"},
+		"no kind":               {func(d *Document) { d.Routes[0].Kind = "" }, "routes[0].kind"},
+		"unknown stage service": {func(d *Document) { d.Routes[0].Stages = []RouteStage{{Service: "u"}} }, "routes[0].stages[0].service"},
+		"stage after itself":    {func(d *Document) { d.Routes[0].Stages = []RouteStage{{Service: "t", After: []int{0}}} }, "routes[0].stages[0].after"},
+		"batch without pieces":  {func(d *Document) { d.Services[1].Batch.Pieces = 0 }, "services[1].batch.pieces"},
+		"a key of two workspace": {func(d *Document) {
+			d.Workspaces = append(d.Workspaces, Workspace{Name: "v", Unlimited: true, KeysSHA256: d.Workspaces[0].KeysSHA256[:1]})
+		}, "workspaces[1].keys_sha256[0]"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := routed()
+			c.change(d)
+			err := fault.As(d.Check())
+			is.Equal(err.Kind, fault.InvalidDocument)
+			found := false
+			for _, p := range err.Faults {
+				found = found || strings.HasPrefix(p.Place, c.place)
+			}
+			is.True(found)
+		})
+	}
+	is.New(t).NoErr(routed().Check())
+}
--- /dev/null
+++ b/piece/maker_test.go
@@ -0,0 +1,282 @@
+package piece
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"godwitplank/connection"
+	"godwitplank/document"
+	"godwitplank/event"
+	"godwitplank/retry"
+	"godwitplank/route"
+	"godwitplank/timer"
+)
+
+// protocol is a plain one of the tests' own.
+type protocol struct{}
+
+func (protocol) RunCall(_, host string, items []Item) *connection.Call {
+	body, _ := json.Marshal(items)
+	return &connection.Call{Method: http.MethodPost, Target: "/run", Host: host, Body: body}
+}
+
+func (protocol) RunAnswer(status int, _ http.Header, body []byte) (Answer, error) {
+	if status == http.StatusServiceUnavailable {
+		return Answer{NotRun: true}, nil
+	}
+	var a Answer
+	return a, json.Unmarshal(body, &a.Results)
+}
+
+func (protocol) FreeCall(_, host string, handles []string) *connection.Call {
+	body, _ := json.Marshal(handles)
+	return &connection.Call{Method: http.MethodPost, Target: "/free", Host: host, Body: body}
+}
+
+func (protocol) Holder(handle string) (netip.AddrPort, error) {
+	addr, _, _ := strings.Cut(handle, "/")
+	return netip.ParseAddrPort(addr)
+}
+
+// endpoint is a stand-in that makes pieces and counts what it did.
+type endpoint struct {
+	candidate route.Candidate
+	// answer, if set, takes the place of the usual one.
+	answer func(w http.ResponseWriter, call int, items []Item) bool
+
+	mu    sync.Mutex
+	calls []int
+	held  map[string]bool
+	made  int
+}
+
+func newEndpoint(t *testing.T, id string) *endpoint {
+	t.Helper()
+	e := &endpoint{held: make(map[string]bool)}
+	server := httptest.NewServer(http.HandlerFunc(e.serve))
+	t.Cleanup(server.Close)
+	addr := netip.MustParseAddrPort(server.Listener.Addr().String())
+	e.candidate = route.Candidate{ID: id, Addr: addr, DataCentre: "dc-a", Confirmed: true, Until: time.Now().Add(time.Hour), Stat: &route.Stat{}}
+	return e
+}
+
+func (e *endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r.URL.Path == "/free" {
+		var handles []string
+		_ = json.NewDecoder(r.Body).Decode(&handles)
+		for _, h := range handles {
+			delete(e.held, h)
+		}
+		return
+	}
+	var items []Item
+	_ = json.NewDecoder(r.Body).Decode(&items)
+	e.calls = append(e.calls, len(items))
+	if e.answer != nil && e.answer(w, len(e.calls), items) {
+		return
+	}
+	results := make([]Result, len(items))
+	for i, item := range items {
+		e.made++
+		results[i].Handle = fmt.Sprintf("%s/%s-%d-%d", e.candidate.Addr, item.RequestID, item.Piece, e.made)
+		e.held[results[i].Handle] = true
+	}
+	_ = json.NewEncoder(w).Encode(results)
+}
+
+func (e *endpoint) holds() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.held)
+}
+
+type services []*endpoint
+
+func (s services) Endpoints(string) []route.Candidate {
+	var out []route.Candidate
+	for _, e := range s {
+		out = append(out, e.candidate)
+	}
+	return out
+}
+
+func (s services) Service(name string) *document.Service {
+	return &document.Service{Name: name, Batch: &document.Batch{Slots: 1, Pieces: 8, CallMS: 5, PieceMS: 1, KeepMS: 4000}}
+}
+
+// startMaker returns a maker that runs until the test ends.
+func startMaker(t *testing.T, slack int, endpoints ...*endpoint) *Maker {
+	t.Helper()
+	budget := &retry.Budget{Ratio: 0.2, Slack: slack, Window: 10 * time.Second}
+	m := NewMaker(services(endpoints), protocol{}, &connection.Pool{Clock: timer.System}, budget, timer.System, nil, event.Logger{})
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { m.Serve(ctx) })
+	t.Cleanup(func() { cancel(); group.Wait() })
+	return m
+}
+
+func request(id string, pieces int) *Job {
+	now := time.Now()
+	return &Job{Service: "s", RequestID: id, Pieces: pieces, Key: "k", Due: now.Add(time.Second), Deadline: now.Add(5 * time.Second), ResultBytes: 1}
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for begun := time.Now(); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Since(begun) > 5*time.Second {
+			t.Fatal("not within 5 s: " + what)
+		}
+	}
+}
+
+// Jobs of several requests share calls, each gets its own results in order, and results are given back.
+func TestRun(t *testing.T) {
+	is := is.New(t)
+	e := newEndpoint(t, "e-1")
+	m := startMaker(t, 20, e)
+	var group sync.WaitGroup
+	for i := range 10 {
+		group.Go(func() {
+			id := fmt.Sprintf("r%d", i)
+			handles, err := m.Run(t.Context(), request(id, 3))
+			is.NoErr(err)
+			for piece, h := range handles {
+				is.True(strings.Contains(h, fmt.Sprintf("/%s-%d-", id, piece)))
+			}
+			m.Free("s", handles)
+		})
+	}
+	group.Wait()
+	e.mu.Lock()
+	is.True(len(e.calls) < 10) // pieces of several jobs went in one call
+	e.mu.Unlock()
+	eventually(t, "all results are given back", func() bool { return e.holds() == 0 })
+}
+
+// A job is made in spite of endpoints that fail, are full or have no room, and of one that is gone.
+func TestRunAgain(t *testing.T) {
+	for name, answer := range map[string]func(w http.ResponseWriter, call int, items []Item) bool{
+		"cut off": func(_ http.ResponseWriter, call int, _ []Item) bool {
+			if call > 1 {
+				return false
+			}
+			panic(http.ErrAbortHandler)
+		},
+		"full": func(w http.ResponseWriter, call int, _ []Item) bool {
+			if call <= 2 {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+			return call <= 2
+		},
+		"without room": func(w http.ResponseWriter, call int, items []Item) bool {
+			if call > 1 {
+				return false
+			}
+			results := make([]Result, len(items))
+			for i := range results {
+				results[i].Reason = NoRoom
+			}
+			_ = json.NewEncoder(w).Encode(results)
+			return true
+		},
+		"too few results": func(w http.ResponseWriter, call int, _ []Item) bool {
+			if call == 1 {
+				_, _ = w.Write([]byte("[]"))
+			}
+			return call == 1
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEndpoint(t, "e-1")
+			e.answer = answer
+			handles, err := startMaker(t, 50, e).Run(t.Context(), request("r", 3))
+			is.NoErr(err)
+			is.Equal(len(handles), 3)
+		})
+	}
+}
+
+// An endpoint that accepts no connection is passed over and costs nothing of the budget.
+func TestUnreachable(t *testing.T) {
+	is := is.New(t)
+	gone, e := newEndpoint(t, "e-1"), newEndpoint(t, "e-2")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	gone.candidate.Addr = netip.MustParseAddrPort(l.Addr().String())
+	is.NoErr(l.Close())
+	m := startMaker(t, 0, gone, e)
+	for i := range 5 {
+		_, err := m.Run(t.Context(), request(fmt.Sprint("r", i), 2))
+		is.NoErr(err)
+	}
+}
+
+// Without a budget a failed piece is not made again.
+func TestBudget(t *testing.T) {
+	is := is.New(t)
+	e := newEndpoint(t, "e-1")
+	e.answer = func(http.ResponseWriter, int, []Item) bool { panic(http.ErrAbortHandler) }
+	j := request("r", 3)
+	j.Deadline = time.Now().Add(time.Second)
+	_, err := startMaker(t, 0, e).Run(t.Context(), j)
+	is.True(errors.Is(err, ErrLate))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	is.Equal(len(e.calls), 1)
+}
+
+// The results of a job whose caller left are given back, also those that are made afterwards.
+func TestCallerLeft(t *testing.T) {
+	is := is.New(t)
+	e := newEndpoint(t, "e-1")
+	e.answer = func(http.ResponseWriter, int, []Item) bool {
+		time.Sleep(100 * time.Millisecond)
+		return false
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+	defer cancel()
+	_, err := startMaker(t, 20, e).Run(ctx, request("r", 3))
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	eventually(t, "the call was made", func() bool { e.mu.Lock(); defer e.mu.Unlock(); return e.made == 3 })
+	eventually(t, "the results are given back", func() bool { return e.holds() == 0 })
+}
+
+// Jobs that wait are moved, those that were begun go on.
+func TestMove(t *testing.T) {
+	is := is.New(t)
+	e := newEndpoint(t, "e-1")
+	e.answer = func(http.ResponseWriter, int, []Item) bool {
+		time.Sleep(100 * time.Millisecond)
+		return false
+	}
+	m := startMaker(t, 20, e)
+	ends := make(chan error, 2)
+	var group sync.WaitGroup
+	for _, id := range []string{"begun", "waits"} {
+		group.Go(func() {
+			_, err := m.Run(t.Context(), request(id, 8))
+			ends <- err
+		})
+		time.Sleep(20 * time.Millisecond)
+	}
+	m.Move("s")
+	is.Equal(<-ends, ErrMoved)
+	is.NoErr(<-ends)
+	group.Wait()
+}
--- /dev/null
+++ b/route/prefix_test.go
@@ -0,0 +1,96 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func engines(n int) []Candidate {
+	out := make([]Candidate, n)
+	for i := range out {
+		out[i] = Candidate{ID: fmt.Sprintf("e-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%2), Confirmed: true, VMs: 1, Until: time.Unix(1e6, 0), Stat: &Stat{}}
+	}
+	return out
+}
+
+var prompt = []Part{{"shared", 4000}, {"session", 2000}, {"own", 500}}
+
+// VMs that know nothing of each other send a session's prompts to the same engine.
+func TestSessionsHaveAHome(t *testing.T) {
+	is := is.New(t)
+	candidates := engines(12)
+	q := Query{Now: time.Unix(1000, 0)}
+	homes := make(map[int]int)
+	for s := range 100 {
+		parts := []Part{{"shared", 4000}, {fmt.Sprint("session-", s), 2000}, {"own", 500}}
+		a, uncached := (&Prefixes{}).Choose(q, candidates, parts)
+		b, _ := (&Prefixes{}).Choose(q, candidates, parts)
+		is.Equal(a, b)
+		is.True(uncached < 2000)
+		homes[a]++
+	}
+	is.Equal(len(homes), 12)
+	for _, n := range homes {
+		is.True(n < 25) // sessions are spread
+	}
+}
+
+func TestChoosePrefix(t *testing.T) {
+	q := Query{Now: time.Unix(1000, 0), DataCentre: "dc-0"}
+	for name, c := range map[string]struct {
+		change func(p *Prefixes, q *Query, c []Candidate, home int)
+		same   bool
+	}{
+		"home":        {func(*Prefixes, *Query, []Candidate, int) {}, true},
+		"home shed":   {func(_ *Prefixes, q *Query, c []Candidate, home int) { c[home].Stat.Fail(q.Now) }, false},
+		"home silent": {func(_ *Prefixes, _ *Query, c []Candidate, home int) { c[home].Confirmed = false }, false},
+		"home tried":  {func(_ *Prefixes, q *Query, c []Candidate, home int) { q.Avoid = []string{c[home].ID} }, false},
+		"home busy": {func(_ *Prefixes, _ *Query, c []Candidate, home int) {
+			for range 60 {
+				c[home].Begin()
+			}
+		}, false},
+		"read elsewhere": {func(p *Prefixes, q *Query, c []Candidate, home int) {
+			p.Read(&c[(home+1)%len(c)], prompt, 100_000, q.Now)
+		}, false},
+		"large inputs elsewhere": {func(_ *Prefixes, q *Query, c []Candidate, home int) {
+			q.InputBytes = map[string]int64{c[(home+1)%len(c)].DataCentre: 100 << 20}
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			candidates, p, q := engines(6), &Prefixes{}, q
+			home, _ := p.Choose(q, candidates, prompt)
+			c.change(p, &q, candidates, home)
+			chosen, _ := p.Choose(q, candidates, prompt)
+			is.True(chosen >= 0)
+			is.Equal(chosen == home, c.same)
+		})
+	}
+}
+
+// A part counts as cached only with all parts before it, for a time and within the memory.
+func TestCached(t *testing.T) {
+	is := is.New(t)
+	p, c, now := &Prefixes{}, engines(1), time.Unix(1000, 0)
+	cached := func(at time.Time, parts ...Part) int { return p.cached(at, c[0].Stat, parts, chain(parts)) }
+	p.Read(&c[0], prompt, 1e6, now)
+	is.Equal(cached(now, prompt...), 6500)
+	is.Equal(cached(now, prompt[0], Part{"other", 10}, prompt[2]), 4000)
+	is.Equal(cached(now, prompt[1]), 0)
+	is.Equal(cached(now.Add(cachedFor+time.Second), prompt...), 0)
+	p.Read(&c[0], []Part{{"large", 9000}}, 20_000, now.Add(time.Second))
+	is.Equal(cached(now.Add(time.Second), Part{"large", 9000}), 9000)
+	is.True(cached(now.Add(time.Second), prompt...) < 6500) // the oldest part yields
+}
+
+func BenchmarkChoosePrefix(b *testing.B) {
+	candidates, p, q := engines(140), &Prefixes{}, Query{Now: time.Unix(1000, 0)}
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Choose(q, candidates, prompt)
+	}
+}
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -63,3 +63,35 @@
 		is.True(strings.Contains(err.Error(), want))
 	}
 }
+
+// A settings file gives what neither a flag nor a variable gives; a name that is no setting is refused.
+func TestSettingsFile(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	write := func(text string) { is.NoErr(os.WriteFile(path, []byte(text), 0o600)) }
+	write("vm: \"10.0.0.1\"\ndata_centre: dc-a\nlink_addr: \"10.0.0.1:7740\"\njoin: \"10.0.0.1:1,10.0.0.2:1\"\njoin_port: \"7740\"\nbootstrap: \"true\"\ncallers_addr: \"\"\nretry_ratio: \"0.3\"\nstop_grace: 8s\n")
+	s, err := read(t, "--settings_file", path, "--data_centre", "dc-b")
+	is.NoErr(err)
+	is.Equal(s.DataCentre, "dc-b")
+	is.Equal(s.Join[1].String(), "10.0.0.2:7740")
+	is.True(s.Bootstrap)
+	is.True(!s.CallersAddr.IsValid())
+	is.Equal(s.Retry.Ratio, 0.3)
+	is.Equal(s.StopGrace.Seconds(), 8.0)
+
+	for text, want := range map[string]string{
+		"vm: a\ndata_centre: b\nshoe_size: 9\n": `"shoe_size" is no setting`,
+		"- a\n":                                 "is no YAML mapping",
+		"vm: a\ndata_centre: b\nretry_ratio: 2\n":    `"2" is no share`,
+		"vm: a\ndata_centre: b\nstop_grace: soon\n":  `"soon" is no time span`,
+		"vm: a\ndata_centre: b\nbootstrap: true\n":   "is not the IP of --link_addr",
+		"vm: a\ndata_centre: b\njoin_port: 99999\n":  `"99999" is no port`,
+		"vm: a\ndata_centre: b\nretry_slack: many\n": `"many" is no number`,
+	} {
+		write(text)
+		_, err := read(t, "--settings_file", path)
+		is.True(err != nil && strings.Contains(err.Error(), want))
+	}
+	_, err = read(t, "--settings_file", path+".none")
+	is.True(err != nil && strings.Contains(err.Error(), "give a file that can be read"))
+}
