--- a/gateway/stage.go
+++ b/gateway/stage.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"godwitplank/document"
 	"godwitplank/event"
@@ -92,7 +93,7 @@
 	}
 	job := &piece.Job{
 		Service: s.Service, RequestID: x.ID, Stage: i, Pieces: x.Pieces[i], Inputs: inputs,
-		Due: x.due, Deadline: x.deadline, Priority: x.priority,
+		Due: x.due.Add(-g.remaining(x, i)), Deadline: x.deadline, Priority: x.priority,
 		DataCentre: g.place(x, plan, i), ResultBytes: s.Bytes,
 	}
 	if len(s.After) == 0 {
@@ -131,6 +132,20 @@
 	return n
 }
 
+// usualAnswer is about the time from the end of the stages to the first event of an engine that is not busy.
+const usualAnswer = 250 * time.Millisecond
+
+// remaining returns the described time from the end of a stage to the first byte of the answer.
+func (g *Gateway) remaining(x *exchange, i int) time.Duration {
+	longest := time.Duration(0)
+	for j, s := range x.route.Stages {
+		if slices.Contains(s.After, i) && j < len(x.Pieces) && x.Pieces[j] > 0 {
+			longest = max(longest, piece.Predict(x.view.Document.Service(s.Service), x.Pieces[j])+g.remaining(x, j)-usualAnswer)
+		}
+	}
+	return longest + usualAnswer
+}
+
 // heavyBytes is the size from which results should not cross data centres.
 const heavyBytes = 1 << 20
 
--- a/piece/maker.go
+++ b/piece/maker.go
@@ -139,7 +139,7 @@
 // Run returns the handles of a job's results in the order of its pieces.
 func (m *Maker) Run(ctx context.Context, j *Job) ([]string, error) {
 	now := m.Clock.Now()
-	p := newPending(j, now, predict(m.Services.Service(j.Service), j.Pieces))
+	p := newPending(j, now, Predict(m.Services.Service(j.Service), j.Pieces))
 	m.Budget.Request(now, j.Service)
 	m.mu.Lock()
 	q := m.queues[j.Service]
@@ -174,8 +174,8 @@
 	p.handles = nil
 }
 
-// predict returns the described time of a call.
-func predict(s *document.Service, pieces int) time.Duration {
+// Predict returns the described time of a call.
+func Predict(s *document.Service, pieces int) time.Duration {
 	if s == nil || s.Batch == nil {
 		return 0
 	}
@@ -282,7 +282,7 @@
 // call makes one call and hands out its results.
 func (m *Maker) call(s *document.Service, c *route.Candidate, known *caller, units []*unit) {
 	begun := m.Clock.Now()
-	predicted := predict(s, len(units))
+	predicted := Predict(s, len(units))
 	patience := time.Duration(float64(predicted)*known.slow)*callPatience + callSlack
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
