control: exchange news with the VMs that have a disk only

Change: with hubs_only a VM asks the VMs with a data folder, whose word tells which of the others are alive or stop; calls between other VMs use links of their own.

--- a/control/connection.go
+++ b/control/connection.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
 
 	"godwitplank/event"
 	"godwitplank/link"
@@ -68,6 +69,7 @@
 	conn, err := grpc.NewClient("passthrough:///"+addr.String(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithStatsHandler(telemetry.ClientTracing()),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: probeAfter, Timeout: probeTimeout}),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.5, Jitter: 0.2, MaxDelay: redialMost},
 			MinConnectTimeout: dialTimeout,
--- a/control/control.go
+++ b/control/control.go
@@ -48,6 +48,9 @@
 	Bootstrap bool
 	// SpareAfter is how long a voter's VM is silent before another VM takes its place.
 	SpareAfter time.Duration
+	// HubsOnly exchanges news only with VMs that have a data folder, so that a VM's cost does not grow with the number
+	// of all VMs. The hubs' word tells which of the others are alive.
+	HubsOnly bool
 	// Folder is nil on a VM without a disk.
 	Folder *disk.Folder
 	Clock  timer.Clock
@@ -198,6 +201,10 @@
 	}
 	c.lastExpiry = now
 	c.vms.Forget(now)
+	c.keepAlive(now)
+	for _, name := range c.vms.Lost(now) {
+		c.Log.Log(event.VMLost, "peer", name, "data_centre", c.vms.Find(name).DataCentre)
+	}
 	c.forgetStats()
 	c.discoverPeers(ctx)
 	c.repair(now)
--- a/control/peer.go
+++ b/control/peer.go
@@ -23,8 +23,13 @@
 	redialMost       = 500 * time.Millisecond
 	// resetAfter is the number of calls in a row without an answer after which a connection is made
 	// anew: after a silent cut it may never carry anything again.
-	resetAfter   = 2
+	resetAfter = 2
+	// probeAfter is the least that the library takes; probeTimeout also ends connections whose bytes are not acknowledged.
+	probeAfter   = 10 * time.Second
+	probeTimeout = 2 * time.Second
 	outboxLength = 256
+	// ProbeMinimum is the least time between two probes of a connection that a VM puts up with.
+	ProbeMinimum = 5 * time.Second
 	// MaxMessageBytes bounds a message between VMs; a snapshot travels in one.
 	MaxMessageBytes = 256 << 20
 )
@@ -47,6 +52,12 @@
 	advertised netip.AddrPort
 	answered   bool
 	self       bool
+	// alive names the VMs that it says are alive.
+	alive []string
+	// talkOnly peers get calls but no exchanges and no replication messages.
+	talkOnly bool
+	// toldSpend is the revision of the own spend that it was told.
+	toldSpend uint64
 	// heard is when it last answered.
 	heard time.Time
 	// seen is what was taken of the VM's incarnation.
@@ -62,7 +73,7 @@
 }
 
 func (c *Control) addPeer(ctx context.Context, addr netip.AddrPort, joined bool) {
-	if c.peers[addr] != nil || addr == c.LinkAddr {
+	if old := c.peers[addr]; addr == c.LinkAddr || (old != nil && !old.talkOnly) {
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -75,13 +86,16 @@
 // discoverPeers links to VMs that were mentioned but are not reached by a joined address, and drops links to VMs gone.
 func (c *Control) discoverPeers(ctx context.Context) {
 	for _, v := range c.vms.Entries() {
-		if c.Discover && v.Name != c.Name && v.LinkAddr.IsValid() && c.peerOf(v.Name) == nil && c.triedJoined() {
+		if c.Discover && v.Name != c.Name && v.LinkAddr.IsValid() && c.exchanges(&v) && c.exchanging(v.Name) == nil && c.triedJoined() {
 			c.addPeer(ctx, v.LinkAddr, false)
 		}
 	}
 	for addr, p := range c.peers {
 		if !p.joined && (p.self || c.unwanted(p)) {
 			p.cancel()
+			if p.talkOnly {
+				p.close()
+			}
 			delete(c.peers, addr)
 		}
 	}
@@ -126,6 +140,28 @@
 	return c.peers[v.LinkAddr]
 }
 
+// exchanging returns the link to a VM that news is exchanged with, or nil.
+func (c *Control) exchanging(name string) *peer {
+	if p := c.peerOf(name); p != nil && !p.talkOnly {
+		return p
+	}
+	return nil
+}
+
+// talk returns a link to a VM for calls.
+func (c *Control) talk(name string) *peer {
+	if p := c.peerOf(name); p != nil {
+		return p
+	}
+	v := c.vms.Find(name)
+	if v == nil || !v.LinkAddr.IsValid() || v.LinkAddr == c.LinkAddr {
+		return nil
+	}
+	p := &peer{addr: v.LinkAddr, name: name, talkOnly: true, cancel: func() {}, outbox: make(chan *raft.Message, 1)}
+	c.peers[v.LinkAddr] = p
+	return p
+}
+
 func (c *Control) exchangeLoop(ctx context.Context, p *peer) {
 	ticks := timer.Subscribe(ctx, exchangeInterval)
 	for {
@@ -142,6 +178,7 @@
 // exchange asks a VM for its news and takes them.
 func (c *Control) exchange(ctx context.Context, p *peer) {
 	var request *link.ExchangeRequest
+	var told uint64
 	if c.do(ctx, func() {
 		if c.Clock.Now().Sub(p.listed) > listInterval {
 			p.listed = c.Clock.Now()
@@ -151,6 +188,7 @@
 			Sender: c.self(), ReceiverIncarnation: p.seen.incarnation,
 			SpendSince: p.seen.spend, EndpointsSince: p.seen.endpoints, OthersSince: p.seen.others,
 		}
+		request.Spend, told = c.ownSpend(p.toldSpend)
 	}) != nil {
 		return
 	}
@@ -167,6 +205,7 @@
 	newer := false
 	err = c.do(ctx, func() {
 		c.takeReply(p, asked, reply)
+		p.toldSpend = told
 		newer = reply.Sender.GetDocumentVersion() > c.stored.GetVersion()
 	})
 	if err == nil && newer {
@@ -201,6 +240,8 @@
 			c.Incarnation = v.Incarnation + 1
 		}
 	}
+	p.noteAlive(r.Others)
+	c.confirm(now, p)
 	c.takeRelayed(asked, r.Endpoints)
 	c.takeGroup(r.Group)
 	c.mergeSpend(r.Spend)
--- a/control/pieces.go
+++ b/control/pieces.go
@@ -34,7 +34,7 @@
 // Link returns a client of a VM, nil if the VM is not known.
 func (c *Control) Link(ctx context.Context, vm string) link.LinkClient {
 	var p *peer
-	if c.do(ctx, func() { p = c.peerOf(vm) }) != nil || p == nil {
+	if c.do(ctx, func() { p = c.talk(vm) }) != nil || p == nil {
 		return nil
 	}
 	return p.client()
--- a/control/server.go
+++ b/control/server.go
@@ -32,6 +32,7 @@
 	if r.Sender.Name != c.Name {
 		c.hear(now, r.Sender, now)
 	}
+	c.mergeSpend(r.Spend)
 	since := seen{c.Incarnation, r.SpendSince, r.EndpointsSince, r.OthersSince}
 	if r.ReceiverIncarnation != c.Incarnation {
 		since = seen{}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
 
 	"godwitplank/console"
 	"godwitplank/control"
@@ -121,7 +122,7 @@
 		Limiter: limiter, Tally: tally,
 		Name: s.VM, DataCentre: s.DataCentre, Incarnation: incarnation,
 		LinkAddr: bound.LinkAddr, OperatorsAddr: bound.OperatorsAddr, CallersAddr: bound.CallersAddr,
-		Join: s.Join, Discover: s.Discover, Bootstrap: s.Bootstrap, SpareAfter: s.SpareAfter, Clock: timer.System, Log: d.log,
+		Join: s.Join, Discover: s.Discover, HubsOnly: s.HubsOnly, Bootstrap: s.Bootstrap, SpareAfter: s.SpareAfter, Clock: timer.System, Log: d.log,
 	}
 	if err := d.openFolder(); err != nil {
 		return err
@@ -154,7 +155,7 @@
 	}
 	d.callers = &http.Server{Handler: d.entry.Handler(), ReadHeaderTimeout: headerWait}
 	d.operators = &http.Server{Handler: operators.Handler(), ReadHeaderTimeout: headerWait}
-	d.link = grpc.NewServer(grpc.StatsHandler(telemetry.ServerTracing()), grpc.MaxRecvMsgSize(control.MaxMessageBytes), grpc.MaxSendMsgSize(control.MaxMessageBytes))
+	d.link = grpc.NewServer(grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: control.ProbeMinimum, PermitWithoutStream: true}), grpc.StatsHandler(telemetry.ServerTracing()), grpc.MaxRecvMsgSize(control.MaxMessageBytes), grpc.MaxSendMsgSize(control.MaxMessageBytes))
 	link.RegisterLinkServer(d.link, d.control)
 	return nil
 }
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -27,6 +27,8 @@
 	LinkAddr      netip.AddrPort
 	Join          []netip.AddrPort
 	Discover      bool
+	// HubsOnly exchanges news only with VMs that have a data folder.
+	HubsOnly      bool
 	DataDir       string
 	AddressesFile string
 	OperatorToken string
@@ -80,6 +82,7 @@
 	{"bootstrap", "false", "true to make the first group of the VMs in --join; --vm is then the IP of --link_addr", bootstrap},
 	{"spare_after", "60s", "silence of a voter's VM after which another VM takes its place", func(s *Settings, v string) error { return span(&s.SpareAfter, v) }},
 	{"discover", "true", "false to link only to the addresses of --join", discover},
+	{"hubs_only", "false", "true to exchange news only with VMs that have a data folder", func(s *Settings, v string) error { return boolean(&s.HubsOnly, v) }},
 	{"data_dir", "", "data folder; empty on a VM without a disk", func(s *Settings, v string) error { s.DataDir = v; return nil }},
 	{"addresses_file", "", "file to write the bound addresses to, as JSON", func(s *Settings, v string) error { s.AddressesFile = v; return nil }},
 	{"operator_token_file", "", "file with the operator token; empty to keep the operators' address closed but for probes", token},
--- a/vm/table.go
+++ b/vm/table.go
@@ -29,6 +29,9 @@
 	Heard time.Time
 	// Mentioned is when any VM last heard of it.
 	Mentioned time.Time
+
+	// live is whether it counted as alive at the last look.
+	live bool
 }
 
 // Alive reports whether the VM was heard lately.
@@ -39,11 +42,11 @@
 // Table holds the newest incarnation of each VM. The zero value is empty.
 type Table struct {
 	entries map[string]*Entry
-	// revision grows with every new VM and every new incarnation of one.
+	// revision grows with every VM that is new, starts, begins to stop, comes to life or is lost.
 	revision uint64
 }
 
-// Revision grows with every new VM and every new incarnation of one.
+// Revision grows with every VM that is new, starts, begins to stop, comes to life or is lost.
 func (t *Table) Revision() uint64 {
 	return t.revision
 }
@@ -54,10 +57,11 @@
 		t.entries = make(map[string]*Entry)
 	}
 	old := t.entries[next.Name]
+	next.live = next.Alive(now)
 	if old == nil {
 		t.revision++
 		t.entries[next.Name] = &next
-		return next.Alive(now)
+		return next.live
 	}
 	if next.Incarnation < old.Incarnation {
 		return false
@@ -65,6 +69,10 @@
 	same := next.Incarnation == old.Incarnation
 	if same && next.Heard.Before(old.Heard) {
 		old.Mentioned = later(old.Mentioned, next.Mentioned)
+		if next.Stopping && !old.Stopping {
+			old.Stopping = true
+			t.revision++
+		}
 		return false
 	}
 	if same {
@@ -72,11 +80,36 @@
 		next.Stopping = next.Stopping || old.Stopping
 		next.Mentioned = later(old.Mentioned, next.Mentioned)
 	}
-	if !same {
+	if !same || next.live != old.live || next.Stopping != old.Stopping {
 		t.revision++
 	}
 	t.entries[next.Name] = &next
-	return next.Alive(now) && (!same || !old.Alive(now))
+	return next.live && (!same || !old.live)
+}
+
+// Confirm takes the word of another VM that a VM is alive.
+func (t *Table) Confirm(now time.Time, name string) {
+	if e := t.entries[name]; e != nil && now.After(e.Heard) {
+		e.Heard = now
+		if !e.live {
+			e.live = true
+			t.revision++
+		}
+	}
+}
+
+// Lost returns the VMs that were alive at the last look and are so no more.
+func (t *Table) Lost(now time.Time) []string {
+	var lost []string
+	for name, e := range t.entries {
+		if e.live && !e.Alive(now) {
+			e.live = false
+			t.revision++
+			lost = append(lost, name)
+		}
+	}
+	slices.Sort(lost)
+	return lost
 }
 
 // Forget drops the VMs that nobody has heard of for ForgetAfter.
--- /dev/null
+++ b/vm/table_test.go
@@ -0,0 +1,66 @@
+package vm
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// What a VM knows of another one by way of others changes with news, and each change is told on.
+func TestHear(t *testing.T) {
+	now := time.Unix(1000, 0)
+	direct := func(incarnation uint64, stopping bool) Entry {
+		return Entry{Name: "vm-b", Incarnation: incarnation, Stopping: stopping, Heard: now, Mentioned: now}
+	}
+	relayed := func(incarnation uint64, stopping bool) Entry {
+		return Entry{Name: "vm-b", Incarnation: incarnation, Stopping: stopping, Mentioned: now}
+	}
+	for _, c := range []struct {
+		name     string
+		first    Entry
+		then     Entry
+		news     bool
+		stopping bool
+		started  uint64
+	}{
+		{"the same again", direct(1, false), direct(1, false), false, false, 1},
+		{"a restart", direct(1, true), direct(2, false), true, false, 2},
+		{"an older incarnation", direct(2, false), direct(1, true), false, false, 2},
+		{"a stop", direct(1, false), direct(1, true), true, true, 1},
+		{"a stop by way of another VM", direct(1, false), relayed(1, true), true, true, 1},
+		{"a stop is not taken back", direct(1, true), relayed(1, false), false, true, 1},
+		{"a restart by way of another VM", direct(1, true), relayed(2, false), true, false, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			table := &Table{}
+			table.Hear(now, c.first)
+			before := table.Revision()
+			table.Hear(now, c.then)
+			is.Equal(table.Revision() > before, c.news)
+			is.Equal(table.Find("vm-b").Stopping, c.stopping)
+			is.Equal(table.Find("vm-b").Incarnation, c.started)
+		})
+	}
+}
+
+// A VM is lost once, when nobody vouches for it any more, and comes back with the next word of it.
+func TestLost(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := &Table{}
+	table.Hear(now, Entry{Name: "vm-b", Heard: now, Mentioned: now})
+	now = now.Add(AliveFor)
+	table.Confirm(now, "vm-b")
+	is.Equal(len(table.Lost(now)), 0)
+	now = now.Add(AliveFor)
+	before := table.Revision()
+	is.Equal(table.Lost(now), []string{"vm-b"})
+	is.Equal(len(table.Lost(now)), 0)
+	is.True(table.Revision() > before)
+	table.Confirm(now, "vm-b")
+	is.Equal(table.Alive(now), 1)
+	table.Confirm(now, "vm-c") // one that is not known
+	is.Equal(table.Find("vm-c"), nil)
+}
