--- a/connection/pool.go
+++ b/connection/pool.go
@@ -35,6 +35,12 @@
 // ErrFull is returned where an endpoint has as many connections as it accepts from this VM.
 var ErrFull = errors.New("the endpoint has as many connections as it accepts from this VM; wait for one or use another endpoint")
 
+// TimedOut reports whether a connection could not be made because nothing answered.
+func TimedOut(err error) bool {
+	var e *net.OpError
+	return errors.As(err, &e) && e.Op == "dial" && e.Timeout()
+}
+
 // Key names one incarnation of an endpoint.
 type Key struct {
 	ID          string
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -61,14 +61,15 @@
 func newRoutes(s *setting.Settings, c *control.Control, meter *telemetry.Meter, log event.Logger) *routes {
 	pool := &connection.Pool{Clock: timer.System, Opened: meter.Connection}
 	budget := &retry.Budget{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window}
-	maker := piece.NewMaker(services{c}, platform.Pieces{}, pool, budget, timer.System, meter, log)
+	reach := &route.Reach{}
+	maker := piece.NewMaker(services{c}, platform.Pieces{}, pool, budget, reach, timer.System, meter, log)
 	broker := piece.NewBroker(s.VM, c, maker, timer.System, log)
 	return &routes{
 		maker: maker, broker: broker,
 		gateway: &gateway.Gateway{
 			DataCentre: s.DataCentre, Views: c, Protocol: platform.Requests{}, Pieces: broker, Holder: platform.Pieces{}.Holder,
 			Policy:   route.Policies[s.Policy](),
-			Prefixes: &route.Prefixes{}, Budget: budget, Pool: pool, Clock: timer.System, Meter: meter, Log: log,
+			Prefixes: &route.Prefixes{}, Reach: reach, Budget: budget, Pool: pool, Clock: timer.System, Meter: meter, Log: log,
 		},
 	}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -165,7 +165,7 @@
 func (g *Gateway) choose(x *exchange, cause string) (*attempt, error) {
 	// The newest view, since endpoints may have begun to leave while the stages were made.
 	candidates := g.Views.View().Pools[x.service.Name]
-	q := route.Query{Now: g.Clock.Now(), DataCentre: g.DataCentre, Model: x.Model, Avoid: x.tried, InputBytes: x.inputBytes}
+	q := route.Query{Now: g.Clock.Now(), DataCentre: g.DataCentre, Model: x.Model, Avoid: x.tried, InputBytes: x.inputBytes, Reach: g.Reach}
 	a := &attempt{begun: q.Now}
 	var chosen int
 	if x.service.Engine != nil {
@@ -191,6 +191,9 @@
 	c := a.candidate
 	conn, err := g.Pool.Open(ctx, connection.Key{ID: c.ID, Incarnation: c.Incarnation}, c.Addr, g.connections(x))
 	if err != nil {
+		if connection.TimedOut(err) {
+			g.Reach.Fail(g.Clock.Now(), c.DataCentre)
+		}
 		return outcome{err: err}
 	}
 	a.conn = conn
@@ -320,6 +323,7 @@
 	switch {
 	case o.err == nil:
 		stat.Succeed(took, a.stretch)
+		g.Reach.Succeed(a.candidate.DataCentre)
 	case ctx.Err() != nil:
 		stat.Leave(took)
 		result = "left"
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,6 +35,7 @@
 	Holder   func(handle string) (netip.AddrPort, error)
 	Policy   route.Policy
 	Prefixes *route.Prefixes
+	Reach    *route.Reach
 	Budget   *retry.Budget
 	Pool     *connection.Pool
 	Clock    timer.Clock
--- a/gateway/stage.go
+++ b/gateway/stage.go
@@ -155,7 +155,7 @@
 	if x.service.Engine == nil {
 		return g.DataCentre
 	}
-	chosen, _ := g.Prefixes.Choose(route.Query{Now: g.Clock.Now(), DataCentre: g.DataCentre, Model: x.Model}, candidates, x.Prefix)
+	chosen, _ := g.Prefixes.Choose(route.Query{Now: g.Clock.Now(), DataCentre: g.DataCentre, Model: x.Model, Reach: g.Reach}, candidates, x.Prefix)
 	if chosen < 0 {
 		return g.DataCentre
 	}
--- a/piece/maker.go
+++ b/piece/maker.go
@@ -25,7 +25,10 @@
 const (
 	// A call is given up after callPatience times its predicted time and callSlack.
 	callPatience = 3
-	callSlack    = 600 * time.Millisecond
+	callSlack    = 300 * time.Millisecond
+	// budgetPatience is how long a repeated piece waits for the budget before its request is refused. It holds memory
+	// of endpoints while it waits.
+	budgetPatience = 300 * time.Millisecond
 	// fullPause is how long an endpoint that has no room, or takes no call, gets none: about half a call.
 	fullPause = 150 * time.Millisecond
 	// firstPause is how long an endpoint that failed gets no call; it doubles with each failure in a row.
@@ -56,6 +59,7 @@
 	Protocol Protocol
 	Pool     *connection.Pool
 	Budget   *retry.Budget
+	Reach    *route.Reach
 	Clock    timer.Clock
 	Meter    *telemetry.Meter
 	Log      event.Logger
@@ -88,9 +92,9 @@
 }
 
 // NewMaker returns a maker.
-func NewMaker(services Services, protocol Protocol, pool *connection.Pool, budget *retry.Budget, clock timer.Clock, meter *telemetry.Meter, log event.Logger) *Maker {
+func NewMaker(services Services, protocol Protocol, pool *connection.Pool, budget *retry.Budget, reach *route.Reach, clock timer.Clock, meter *telemetry.Meter, log event.Logger) *Maker {
 	return &Maker{
-		Services: services, Protocol: protocol, Pool: pool, Budget: budget, Clock: clock, Meter: meter, Log: log,
+		Services: services, Protocol: protocol, Pool: pool, Budget: budget, Reach: reach, Clock: clock, Meter: meter, Log: log,
 		queues: make(map[string]*queue), calls: make(map[connection.Key]*caller), frees: make(map[netip.AddrPort][]string),
 		held: make(map[string]*result), freed: make(chan struct{}, 1),
 	}
@@ -245,7 +249,7 @@
 	for i := range candidates {
 		c := &candidates[i]
 		known := m.caller(key(c))
-		if now.Before(known.until) || !now.Before(c.Until) {
+		if now.Before(known.until) || !now.Before(c.Until) || m.Reach.Avoid(now, c.DataCentre) {
 			continue
 		}
 		if c.Confirmed {
@@ -336,6 +340,9 @@
 func (m *Maker) send(ctx context.Context, s *document.Service, c *route.Candidate, call *connection.Call, items int) (Answer, error) {
 	conn, err := m.Pool.Open(ctx, key(c), c.Addr, s.MaxConnections)
 	if err != nil {
+		if connection.TimedOut(err) {
+			m.Reach.Fail(m.Clock.Now(), c.DataCentre)
+		}
 		return Answer{}, &unsentError{err}
 	}
 	if _, err := conn.Send(ctx, call); err != nil {
@@ -353,6 +360,7 @@
 		return Answer{}, err
 	}
 	conn.Release(r)
+	m.Reach.Succeed(c.DataCentre)
 	answer, err := m.Protocol.RunAnswer(r.StatusCode, r.Header, body)
 	if err == nil && !answer.NotRun && len(answer.Results) != items {
 		err = fmt.Errorf("the answer has %d results for %d pieces", len(answer.Results), items)
@@ -472,6 +480,7 @@
 		}
 		u.paid = u.paid || unsent
 		u.repeated = true
+		u.returned = now
 		again = append(again, u)
 	}
 	if len(again) > 0 {
@@ -485,6 +494,9 @@
 		return true
 	}
 	u.paid = m.Budget.Take(now, service, 1)
+	if !u.paid && now.Sub(u.returned) > budgetPatience {
+		u.job.end(ErrTries)
+	}
 	return u.paid
 }
 
--- a/piece/maker_test.go
+++ b/piece/maker_test.go
@@ -122,7 +122,7 @@
 func startMaker(t *testing.T, slack int, endpoints ...*endpoint) *Maker {
 	t.Helper()
 	budget := &retry.Budget{Ratio: 0.2, Slack: slack, Window: 10 * time.Second}
-	m := NewMaker(services(endpoints), protocol{}, &connection.Pool{Clock: timer.System}, budget, timer.System, nil, event.Logger{})
+	m := NewMaker(services(endpoints), protocol{}, &connection.Pool{Clock: timer.System}, budget, &route.Reach{}, timer.System, nil, event.Logger{})
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { m.Serve(ctx) })
@@ -227,15 +227,16 @@
 	}
 }
 
-// Without a budget a failed piece is not made again.
+// Without a budget a failed piece is not made again, and its request does not wait for its deadline.
 func TestBudget(t *testing.T) {
 	is := is.New(t)
 	e := newEndpoint(t, "e-1")
 	e.answer = func(http.ResponseWriter, int, []Item) bool { panic(http.ErrAbortHandler) }
 	j := request("r", 3)
-	j.Deadline = time.Now().Add(time.Second)
+	begun := time.Now()
 	_, err := startMaker(t, 0, e).Run(t.Context(), j)
-	is.True(errors.Is(err, ErrLate))
+	is.True(errors.Is(err, ErrTries))
+	is.True(time.Since(begun) < time.Second)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	is.Equal(len(e.calls), 1)
--- a/piece/queue.go
+++ b/piece/queue.go
@@ -31,6 +31,8 @@
 	tries int
 	// repeated units went to an endpoint before; paid ones are covered by the budget for the next call.
 	repeated, paid bool
+	// returned is when it came back from an endpoint without a result.
+	returned time.Time
 }
 
 func newPending(j *Job, now time.Time, predicted time.Duration) *pending {
--- a/route/policy.go
+++ b/route/policy.go
@@ -15,6 +15,8 @@
 	Avoid []string
 	// InputBytes is the size of the inputs that the endpoint fetches from each data centre.
 	InputBytes map[string]int64
+	// Reach tells which data centres to avoid; nil avoids none.
+	Reach *Reach
 }
 
 // Policy chooses one of the candidates, or -1 if none may take the call.
@@ -124,7 +126,7 @@
 		if !usable(&q, c) {
 			continue
 		}
-		if c.Stat.shed(now) {
+		if c.Stat.shed(now) || q.Reach.Avoid(q.Now, c.DataCentre) {
 			shed = i
 			continue
 		}
--- a/route/prefix.go
+++ b/route/prefix.go
@@ -85,7 +85,7 @@
 		}
 		cost := float64(total-cached) + busyTokens*float64(c.Stat.InFlight()*int64(max(c.VMs, 1)))
 		switch {
-		case c.Stat.shed(q.Now.UnixNano()):
+		case c.Stat.shed(q.Now.UnixNano()) || q.Reach.Avoid(q.Now, c.DataCentre):
 			cost += shedTokens
 		case !c.Confirmed:
 			cost += unconfirmedTokens
@@ -121,7 +121,7 @@
 	best, bestScore := "", uint64(0)
 	for i := range candidates {
 		c := &candidates[i]
-		if !usable(q, c) || !c.Confirmed || c.Stat.shed(q.Now.UnixNano()) {
+		if !usable(q, c) || !c.Confirmed || c.Stat.shed(q.Now.UnixNano()) || q.Reach.Avoid(q.Now, c.DataCentre) {
 			continue
 		}
 		if score := rendezvous(session, c.ID); score > bestScore {
