control: have the VMs with the most capacity make pieces

Change: VMs tell their processor share; those with at least 0.8 of the largest one make pieces. What is known of endpoints that are gone is forgotten.

--- a/connection/pool.go
+++ b/connection/pool.go
@@ -208,8 +208,8 @@
 	}
 }
 
-// Connections returns the number of connections to an endpoint.
-func (p *Pool) Connections(key Key) int {
+// connections returns the number of connections to an endpoint.
+func (p *Pool) connections(key Key) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if e := p.endpoints[key]; e != nil {
--- a/connection/pool_test.go
+++ b/connection/pool_test.go
@@ -129,7 +129,7 @@
 		is.NoErr(err)
 		is.Equal(body, "ok")
 		is.True(!reused)
-		for begun := time.Now(); p.Connections(key) > 0; time.Sleep(time.Millisecond) {
+		for begun := time.Now(); p.connections(key) > 0; time.Sleep(time.Millisecond) {
 			is.True(time.Since(begun) < 5*time.Second)
 		}
 	}
@@ -150,7 +150,7 @@
 			p := &Pool{Clock: timer.System}
 			_, _, _, err := exchange(p, addr, get)
 			is.True(err != nil)
-			is.Equal(p.Connections(key), 0)
+			is.Equal(p.connections(key), 0)
 		})
 	}
 }
@@ -169,7 +169,7 @@
 	is.NoErr(err)
 	is.Equal(r.StatusCode, 413)
 	is.Equal(body, "no")
-	is.Equal(p.Connections(key), 0)
+	is.Equal(p.connections(key), 0)
 }
 
 func TestLimits(t *testing.T) {
--- a/control/hub_test.go
+++ b/control/hub_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -26,16 +27,16 @@
 	ask(b, hub, fromB)
 	ask(a, hub, fromA)
 	now := a.Clock.Now()
-	is.Equal(a.entryVMs(now), []string{"vm-a", "vm-b"})
+	is.Equal(entries(a, now), []string{"vm-a", "vm-b"})
 
 	later := now.Add(3 * vm.AliveFor) // nothing more is heard of the hub
 	a.keepAlive(later)
-	is.Equal(a.entryVMs(later), []string{"vm-a", "vm-b"})
+	is.Equal(entries(a, later), []string{"vm-a", "vm-b"})
 
 	b.stopping = true
 	ask(b, hub, fromB)
 	ask(a, hub, fromA)
-	is.Equal(a.entryVMs(a.Clock.Now()), []string{"vm-a"})
+	is.Equal(entries(a, a.Clock.Now()), []string{"vm-a"})
 }
 
 // Counters of a VM that nobody asks reach the hub once.
@@ -51,3 +52,29 @@
 	lines, _ = a.ownSpend(revision)
 	is.Equal(len(lines), 0)
 }
+
+func entries(c *Control, now time.Time) []string {
+	names, _ := c.entryVMs(now)
+	return names
+}
+
+// Pieces are made by the VMs with the most capacity; where none is told, all may.
+func TestMakers(t *testing.T) {
+	is := is.New(t)
+	c := newControl(t, "vm-a", 1)
+	now := c.Clock.Now()
+	_, makers := c.entryVMs(now)
+	is.Equal(len(makers), 0) // this VM takes no callers' requests
+	addr := netip.MustParseAddrPort("10.0.0.9:1")
+	for name, capacity := range map[string]float64{"vm-b": 0.144, "vm-c": 0.48, "vm-d": 0.4} {
+		c.vms.Hear(now, vm.Entry{Name: name, CallersAddr: addr, Capacity: capacity, Heard: now})
+	}
+	_, makers = c.entryVMs(now)
+	is.Equal(makers, []string{"vm-c", "vm-d"})
+	c.vms = vm.Table{}
+	for _, name := range []string{"vm-b", "vm-c"} {
+		c.vms.Hear(now, vm.Entry{Name: name, CallersAddr: addr, Heard: now})
+	}
+	_, makers = c.entryVMs(now)
+	is.Equal(makers, []string{"vm-b", "vm-c"})
+}
--- a/control/pieces.go
+++ b/control/pieces.go
@@ -40,7 +40,7 @@
 	return p.client()
 }
 
-// Makers returns the VMs that are alive and take callers' requests.
+// Makers returns the VMs that are alive and make pieces for the others.
 func (c *Control) Makers() []string {
-	return c.View().Entries
+	return c.View().Makers
 }
--- a/control/server.go
+++ b/control/server.go
@@ -88,7 +88,7 @@
 	v := &link.VM{
 		Name: c.Name, Incarnation: c.Incarnation, DataCentre: c.DataCentre, LinkAddr: c.LinkAddr.String(),
 		OperatorsAddr: c.OperatorsAddr.String(), CallersAddr: c.CallersAddr.String(),
-		DocumentVersion: c.stored.GetVersion(), Stopping: c.stopping,
+		DocumentVersion: c.stored.GetVersion(), Stopping: c.stopping, Capacity: c.Capacity,
 	}
 	if c.Folder != nil {
 		v.ReplicaId = c.Folder.Identity.ReplicaID
@@ -102,7 +102,7 @@
 		out = append(out, &link.VM{
 			Name: e.Name, Incarnation: e.Incarnation, DataCentre: e.DataCentre, LinkAddr: e.LinkAddr.String(),
 			OperatorsAddr: e.OperatorsAddr.String(), CallersAddr: e.CallersAddr.String(), ReplicaId: e.ReplicaID,
-			DocumentVersion: e.DocumentVersion, Stopping: e.Stopping,
+			DocumentVersion: e.DocumentVersion, Stopping: e.Stopping, Capacity: e.Capacity,
 			AgeMs: max(1, now.Sub(e.Mentioned).Milliseconds()),
 		})
 	}
@@ -112,7 +112,7 @@
 func vmEntry(v *link.VM) vm.Entry {
 	e := vm.Entry{
 		Name: v.Name, Incarnation: v.Incarnation, DataCentre: v.DataCentre, ReplicaID: v.ReplicaId,
-		DocumentVersion: v.DocumentVersion, Stopping: v.Stopping,
+		DocumentVersion: v.DocumentVersion, Stopping: v.Stopping, Capacity: v.Capacity,
 	}
 	e.LinkAddr, _ = netip.ParseAddrPort(v.LinkAddr)
 	e.OperatorsAddr, _ = netip.ParseAddrPort(v.OperatorsAddr)
--- a/control/view.go
+++ b/control/view.go
@@ -37,6 +37,8 @@
 	At    time.Time
 	// Entries names the VMs that take callers' requests and are alive, in order; this VM is among them if it does.
 	Entries []string
+	// Makers names those of them that make pieces for the others: the ones with the most capacity.
+	Makers []string
 
 	alive int // VMs that are alive, this one among them
 }
@@ -66,7 +68,7 @@
 		Pools: make(map[string][]route.Candidate), VMs: c.vms.Entries(), Group: c.groupView(),
 		Stopping: c.stopping, At: now, alive: 1 + c.vms.Alive(now),
 	}
-	v.Entries = c.entryVMs(now)
+	v.Entries, v.Makers = c.entryVMs(now)
 	v.Spend = c.book.Totals()
 	if c.replica != nil {
 		status := c.replica.core.Status()
@@ -112,19 +114,32 @@
 	})
 }
 
-// entryVMs returns the VMs that take callers' requests and are alive.
-func (c *Control) entryVMs(now time.Time) []string {
-	var names []string
+// makerShare is the part of the largest capacity of all from which a VM makes pieces for others.
+const makerShare = 0.8
+
+// entryVMs returns the VMs that take callers' requests and are alive, and those of them with the most capacity.
+func (c *Control) entryVMs(now time.Time) (names, makers []string) {
+	capacities := make(map[string]float64)
 	if c.CallersAddr.IsValid() && !c.stopping {
-		names = append(names, c.Name)
+		capacities[c.Name] = c.Capacity
 	}
 	for _, v := range c.vms.Entries() {
 		if v.Name != c.Name && v.CallersAddr.IsValid() && v.Alive(now) && !v.Stopping {
-			names = append(names, v.Name)
+			capacities[v.Name] = v.Capacity
 		}
 	}
+	largest := 0.0
+	for name, capacity := range capacities {
+		names = append(names, name)
+		largest = max(largest, capacity)
+	}
 	slices.Sort(names)
-	return names
+	for _, name := range names {
+		if capacities[name] >= makerShare*largest {
+			makers = append(makers, name)
+		}
+	}
+	return names, makers
 }
 
 // plannedStop returns when the planned stop of an endpoint or a VM begins: early enough that what is in flight
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -101,7 +101,7 @@
 		}
 		if errors.Is(o.err, errInputsGone) && !remade {
 			remade = true
-			if g.remake(ctx, x, o.err) {
+			if g.remake(ctx, x) {
 				x.tried = nil
 				continue
 			}
--- a/gateway/stage.go
+++ b/gateway/stage.go
@@ -286,11 +286,8 @@
 	}
 }
 
-// remake makes the stages again after a result was lost, once.
-func (g *Gateway) remake(ctx context.Context, x *exchange, err error) bool {
-	if !errors.Is(err, errInputsGone) {
-		return false
-	}
+// remake makes the stages again after a result was lost.
+func (g *Gateway) remake(ctx context.Context, x *exchange) bool {
 	g.freeInputs(x)
 	return g.makeStages(ctx, x) == nil
 }
--- a/piece/maker.go
+++ b/piece/maker.go
@@ -34,6 +34,8 @@
 	// firstPause is how long an endpoint that failed gets no call; it doubles with each failure in a row.
 	firstPause = 500 * time.Millisecond
 	mostPause  = 8 * time.Second
+	// forgetAfter is how long what is known of an endpoint is kept after its last call.
+	forgetAfter = time.Minute
 	// unconfirmedFactor leaves endpoints that no longer announce themselves for when there is no other.
 	unconfirmedFactor = 4
 	// speedWeight is the share of a new measurement in the learned speed.
@@ -80,6 +82,8 @@
 	// slow is the learned factor on the described time of a call.
 	slow  float64
 	until time.Time
+	// called is when it was last called.
+	called time.Time
 	// used is the memory of the results that are known to be kept there.
 	used int64
 }
@@ -189,7 +193,7 @@
 func (m *Maker) dispatchAll() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.expireHeld(m.Clock.Now())
+	m.expire(m.Clock.Now())
 	for name, q := range m.queues {
 		m.dispatch(name, q)
 	}
@@ -227,6 +231,7 @@
 			u.paid = false
 		}
 		known.busy++
+		known.called = now
 		known.used += results(units)
 		m.group.Go(func() { m.call(s, c, known, units) })
 	}
@@ -441,13 +446,18 @@
 	}
 }
 
-// expireHeld forgets results that their endpoints no longer keep, and endpoints that are gone.
-func (m *Maker) expireHeld(now time.Time) {
+// expire forgets results that their endpoints no longer keep, and endpoints that were not called for long.
+func (m *Maker) expire(now time.Time) {
 	for handle, r := range m.held {
 		if now.After(r.expires) {
 			m.release(handle)
 		}
 	}
+	for k, c := range m.calls {
+		if c.busy == 0 && c.used == 0 && now.Sub(c.called) > forgetAfter {
+			delete(m.calls, k)
+		}
+	}
 }
 
 func itemResult(a Answer, err error, item int) Result {
--- a/route/prefix.go
+++ b/route/prefix.go
@@ -45,6 +45,7 @@
 type Prefixes struct {
 	mu        sync.Mutex
 	endpoints map[*Stat]map[uint64]cachedPart
+	swept     time.Time
 }
 
 // cachedPart is a part together with all parts before it.
@@ -173,9 +174,24 @@
 		known[h] = cachedPart{tokens: parts[i].Tokens, used: now}
 	}
 	forget(known, now, int(cacheShare*float64(memory)))
+	p.sweep(now)
 }
 
-// forget drops parts that are old, and the oldest ones over the memory.
+// sweep forgets endpoints that read nothing lately; most of them are gone.
+func (p *Prefixes) sweep(now time.Time) {
+	if now.Sub(p.swept) < cachedFor {
+		return
+	}
+	p.swept = now
+	for s, known := range p.endpoints {
+		forget(known, now, 0)
+		if len(known) == 0 {
+			delete(p.endpoints, s)
+		}
+	}
+}
+
+// forget drops parts that are old, and the oldest ones over the memory; 0 is no limit.
 func forget(known map[uint64]cachedPart, now time.Time, most int) {
 	total := 0
 	for h, part := range known {
--- a/route/prefix_test.go
+++ b/route/prefix_test.go
@@ -85,6 +85,9 @@
 	p.Read(&c[0], []Part{{"large", 9000}}, 20_000, now.Add(time.Second))
 	is.Equal(cached(now.Add(time.Second), Part{"large", 9000}), 9000)
 	is.True(cached(now.Add(time.Second), prompt...) < 6500) // the oldest part yields
+	other := engines(1)
+	p.Read(&other[0], prompt, 1e6, now.Add(3*cachedFor))
+	is.Equal(len(p.endpoints), 1) // endpoints that read nothing lately are forgotten
 }
 
 func BenchmarkChoosePrefix(b *testing.B) {
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -27,6 +27,8 @@
 	LinkAddr      netip.AddrPort
 	Join          []netip.AddrPort
 	Discover      bool
+	// Capacity is the VM's processor share, 0 if it is not known.
+	Capacity float64
 	// HubsOnly exchanges news only with VMs that have a data folder.
 	HubsOnly      bool
 	DataDir       string
@@ -89,6 +91,7 @@
 	{"log_level", "info", "debug, info, warn or error", level},
 	{"trace_file", "", "file to write traces to", func(s *Settings, v string) error { s.TraceFile = v; return nil }},
 	{"policy", "predicted", "choice of endpoints: predicted, least_in_flight, round_robin or random", policy},
+	{"capacity", "0", "processor share of this VM, in cores; the VMs with the most make pieces for the others", capacity},
 	{"memory_mb", "0", "memory that the process may use, in MB; 0 for no limit", func(s *Settings, v string) error { return count(&s.MemoryMB, v) }},
 	{"stop_grace", "0s", "longest time from a signal to the end; 0s for the longest deadline", func(s *Settings, v string) error { return span(&s.StopGrace, v) }},
 	{"retry_ratio", "0.2", "share of a service's requests that all VMs together may send again", retryRatio},
@@ -222,6 +225,15 @@
 	return nil
 }
 
+func capacity(s *Settings, value string) error {
+	cores, err := strconv.ParseFloat(value, 64)
+	if err != nil || cores < 0 {
+		return fmt.Errorf("%q is no number of cores; give one such as 0.4", value)
+	}
+	s.Capacity = cores
+	return nil
+}
+
 func retryRatio(s *Settings, value string) error {
 	ratio, err := strconv.ParseFloat(value, 64)
 	if err != nil || ratio < 0 || ratio > 1 {
--- a/vm/table.go
+++ b/vm/table.go
@@ -25,6 +25,8 @@
 	ReplicaID       string
 	DocumentVersion uint64
 	Stopping        bool
+	// Capacity is the VM's processor share, 0 where it is not told.
+	Capacity float64
 	// Heard is when the VM itself was last heard, by the clock of the table's VM.
 	Heard time.Time
 	// Mentioned is when any VM last heard of it.
