--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -80,8 +80,8 @@
 	is.Equal(s.StopGrace.Seconds(), 8.0)
 
 	for text, want := range map[string]string{
-		"vm: a\ndata_centre: b\nshoe_size: 9\n":      `"shoe_size" is no setting`,
-		"- a\n":                                      "is no YAML mapping",
+		"vm: a\ndata_centre: b\nshoe_size: 9\n": `"shoe_size" is no setting`,
+		"- a\n":                                 "is no YAML mapping",
 		"vm: a\ndata_centre: b\nretry_ratio: 2\n":    `"2" is no share`,
 		"vm: a\ndata_centre: b\nstop_grace: soon\n":  `"soon" is no time span`,
 		"vm: a\ndata_centre: b\nbootstrap: true\n":   "is not the IP of --link_addr",
