--- a/control/peer.go
+++ b/control/peer.go
@@ -17,10 +17,13 @@
 // Timing of the links between VMs.
 const (
 	exchangeInterval = 500 * time.Millisecond
-	exchangeTimeout  = 1 * time.Second
-	deliverTimeout   = 1 * time.Second
-	dialTimeout      = 500 * time.Millisecond
-	redialMost       = 500 * time.Millisecond
+	// A VM that has just started asks more often, until it has heard of all endpoints once.
+	startInterval   = 150 * time.Millisecond
+	startSpan       = 4 * time.Second
+	exchangeTimeout = 1 * time.Second
+	deliverTimeout  = 1 * time.Second
+	dialTimeout     = 500 * time.Millisecond
+	redialMost      = 500 * time.Millisecond
 	// resetAfter is the number of calls in a row without an answer after which a connection is made
 	// anew: after a silent cut it may never carry anything again.
 	resetAfter = 2
@@ -163,14 +166,16 @@
 }
 
 func (c *Control) exchangeLoop(ctx context.Context, p *peer) {
-	ticks := timer.Subscribe(ctx, exchangeInterval)
 	for {
+		begun := c.Clock.Now()
 		c.exchange(ctx, p)
-		select {
-		case <-ctx.Done():
+		pause := exchangeInterval
+		if begun.Sub(c.start) < startSpan {
+			pause = startInterval
+		}
+		if timer.Wait(ctx, pause-c.Clock.Now().Sub(begun)) != nil {
 			p.close()
 			return
-		case <-ticks:
 		}
 	}
 }
