--- a/cli/command_test.go
+++ b/cli/command_test.go
@@ -29,6 +29,9 @@
 		{"group show --server 127.0.0.1:1 --operator_token_file command.go", 1, "no answer"},
 		{"version --output yaml", 2, "give text or json"},
 		{"request p --input nothing", 2, "give JSON"},
+		{"explain r-1 ../explain/testdata/vm-a.log ../explain/testdata/bench.log", 0, "cause: endpoint e-2 failed"},
+		{"explain r-9 ../explain/testdata/vm-a.log", 1, "no line has request"},
+		{"explain r-1 ../explain/testdata/none.log", 2, "give a file that can be read"},
 		{"load ../document/testdata/unknown.yaml", 2, "unknown field"},
 	} {
 		t.Run(c.args, func(t *testing.T) {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -34,7 +34,7 @@
 	RequestAnswered   = Event{505, log.InfoLevel, "request answered", "request_id, route, workspace, document_version, status, kind, message, stages_ms, first_ms, took_ms, left_ms, attempts, retry_after_ms", "if kind is not empty, follow the request's other lines"}
 	AttemptFailed     = Event{506, log.WarnLevel, "attempt failed", "request_id, endpoint, error, sent, not_run, took_ms, shed_ms", "look at the endpoint if it repeats"}
 	StreamResumed     = Event{507, log.InfoLevel, "stream resumed at another endpoint", "request_id, endpoint, last_event", "nothing"}
-	PiecesMade        = Event{508, log.InfoLevel, "pieces of a stage made", "service, endpoint, pieces, first_request, waited_ms, took_ms, predicted_ms, without_room, result", "if took_ms is far over predicted_ms, the endpoint is slow"}
+	PiecesMade        = Event{508, log.InfoLevel, "pieces of a stage made", "service, endpoint, pieces, requests, waited_ms, took_ms, predicted_ms, without_room, result", "if took_ms is far over predicted_ms, the endpoint is slow"}
 	StageDone         = Event{509, log.InfoLevel, "stage of a request done", "request_id, stage, service, pieces, took_ms, error", "if took_ms is long, look for event 508 of the service"}
 	ResultNotFreed    = Event{510, log.InfoLevel, "stage result not given back", "handle, error", "nothing; it expires by itself"}
 	MakerFailed       = Event{511, log.WarnLevel, "VM that makes pieces failed", "request_id, service, peer, error", "look whether the VM or the link to it failed"}
--- a/event/event.go
+++ b/event/event.go
@@ -18,6 +18,9 @@
 	Remedy string
 }
 
+// timeFormat has milliseconds, so that lines of several VMs can be put in order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Logger writes events. The zero value writes nothing.
 type Logger struct {
 	log *log.Logger
@@ -25,7 +28,7 @@
 
 // NewLogger returns a logger of JSON lines at a level and above.
 func NewLogger(w io.Writer, level log.Level, vm string) Logger {
-	l := log.NewWithOptions(w, log.Options{Level: level, ReportTimestamp: true, Formatter: log.JSONFormatter})
+	l := log.NewWithOptions(w, log.Options{Level: level, ReportTimestamp: true, TimeFormat: timeFormat, Formatter: log.JSONFormatter})
 	return Logger{log: l.With("vm", vm)}
 }
 
--- /dev/null
+++ b/explain/story_test.go
@@ -0,0 +1,59 @@
+package explain
+
+import (
+	"bytes"
+	"flag"
+	"io"
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// TestStories compares the stories told from the example logs with the golden ones.
+func TestStories(t *testing.T) {
+	for _, id := range []string{"r-1", "r-2", "r-3"} {
+		t.Run(id, func(t *testing.T) {
+			is := is.New(t)
+			var logs []io.Reader
+			for _, path := range []string{"testdata/bench.log", "testdata/vm-a.log"} {
+				file, err := os.Open(path)
+				is.NoErr(err)
+				defer file.Close()
+				logs = append(logs, file)
+			}
+			story, err := Read(id, logs...)
+			is.NoErr(err)
+			var out bytes.Buffer
+			is.NoErr(story.Write(&out))
+			golden := "testdata/" + id + ".golden.txt"
+			if *update {
+				is.NoErr(os.WriteFile(golden, out.Bytes(), 0o644))
+			}
+			text, err := os.ReadFile(golden)
+			is.NoErr(err)
+			is.Equal(out.String(), string(text)) // run go test ./explain -update
+		})
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	for _, path := range []string{"testdata/bench.log", "testdata/vm-a.log"} {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		story, err := Read("r-1", bytes.NewReader(text))
+		if err != nil {
+			return
+		}
+		if err := story.Write(io.Discard); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/piece/call.go
+++ b/piece/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"godwitplank/connection"
@@ -29,7 +30,7 @@
 	answer, err := m.exchange(ctx, s, c, items)
 	took := m.Clock.Now().Sub(begun)
 	m.Meter.Attempt(s.Name, "batch", outcome(answer, err), took)
-	m.Log.Log(event.PiecesMade, "service", s.Name, "endpoint", c.ID, "pieces", len(units), "first_request", units[0].job.RequestID,
+	m.Log.Log(event.PiecesMade, "service", s.Name, "endpoint", c.ID, "pieces", len(units), "requests", requests(units),
 		"waited_ms", begun.Sub(units[0].job.queued).Milliseconds(), "took_ms", took.Milliseconds(), "predicted_ms", predicted.Milliseconds(),
 		"without_room", count(answer, NoRoom), "result", outcome(answer, err))
 	m.mu.Lock()
@@ -41,6 +42,17 @@
 	m.dispatch(s.Name, m.queues[s.Name])
 }
 
+// requests lists the requests that a call has pieces of.
+func requests(units []*unit) string {
+	var ids []string
+	for i, u := range units {
+		if i == 0 || u.job != units[i-1].job {
+			ids = append(ids, u.job.RequestID)
+		}
+	}
+	return strings.Join(ids, ",")
+}
+
 func count(a Answer, reason Reason) int {
 	n := 0
 	for _, r := range a.Results {
