--- a/piece/dispatch.go
+++ b/piece/dispatch.go
@@ -51,7 +51,8 @@
 			}
 		}
 		o.share = int(math.Ceil(float64(q.count(now, c.DataCentre, near)) / float64(rivals)))
-		o.may = func(u *unit) bool { return m.pay(now, s.Name, u) }
+		charged := make(map[*pending]bool)
+		o.may = func(u *unit) bool { return m.pay(now, s.Name, u, charged) }
 		units := q.take(o)
 		if len(units) == 0 {
 			continue
@@ -117,14 +118,18 @@
 	return c
 }
 
-// pay takes what repeated units cost from the budget; false where it does not suffice now.
-func (m *Maker) pay(now time.Time, service string, u *unit) bool {
-	if !u.repeated || u.paid {
+// pay takes what repeated units cost from the budget: one for each request in a call. False means that it does not
+// suffice now.
+func (m *Maker) pay(now time.Time, service string, u *unit, charged map[*pending]bool) bool {
+	if !u.repeated || u.paid || charged[u.job] {
 		return true
 	}
-	u.paid = m.Budget.Take(now, service, 1)
-	if !u.paid && now.Sub(u.returned) > budgetPatience {
+	if m.Budget.Take(now, service, 1) {
+		charged[u.job] = true
+		return true
+	}
+	if now.Sub(u.returned) > budgetPatience && u.job.Due.Before(now) {
 		u.job.end(ErrTries)
 	}
-	return u.paid
+	return false
 }
--- a/piece/maker.go
+++ b/piece/maker.go
@@ -22,8 +22,8 @@
 	// A call is given up after callPatience times its predicted time and callSlack.
 	callPatience = 3
 	callSlack    = 300 * time.Millisecond
-	// budgetPatience is how long a repeated piece waits for the budget before its request is refused. It holds memory
-	// of endpoints while it waits.
+	// budgetPatience is how long a repeated piece waits for the budget at least before its request is refused, if it can
+	// no longer meet its objective. It holds memory of endpoints while it waits.
 	budgetPatience = 300 * time.Millisecond
 	// fullPause is how long an endpoint that has no room, or takes no call, gets none: about half a call.
 	fullPause = 150 * time.Millisecond
--- a/piece/maker_test.go
+++ b/piece/maker_test.go
@@ -234,6 +234,7 @@
 	e.answer = func(http.ResponseWriter, int, []Item) bool { panic(http.ErrAbortHandler) }
 	j := request("r", 3)
 	begun := time.Now()
+	j.Due = begun.Add(200 * time.Millisecond)
 	_, err := startMaker(t, 0, e).Run(t.Context(), j)
 	is.True(errors.Is(err, ErrTries))
 	is.True(time.Since(begun) < time.Second)
@@ -242,6 +243,21 @@
 	is.Equal(len(e.calls), 1)
 }
 
+// The budget counts one repeat for a request in a call, whatever the number of its pieces.
+func TestBudgetOfACall(t *testing.T) {
+	is := is.New(t)
+	e := newEndpoint(t, "e-1")
+	e.answer = func(_ http.ResponseWriter, call int, _ []Item) bool {
+		if call == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		return false
+	}
+	handles, err := startMaker(t, 2, e).Run(t.Context(), request("r", 8))
+	is.NoErr(err)
+	is.Equal(len(handles), 8)
+}
+
 // The results of a job whose caller left are given back, also those that are made afterwards.
 func TestCallerLeft(t *testing.T) {
 	is := is.New(t)
