--- a/explain/story.go
+++ b/explain/story.go
@@ -44,7 +44,7 @@
 // Read collects the lines of a request from logs. Each line is a JSON object, or has one behind a time and a name.
 func Read(id string, logs ...io.Reader) (*Story, error) {
 	s := &Story{RequestID: id}
-	beliefs := make(map[string]Line)
+	beliefs := make(map[string][]Line)
 	for _, log := range logs {
 		scanner := bufio.NewScanner(log)
 		scanner.Buffer(make([]byte, 64<<10), maxLineBytes)
@@ -55,7 +55,7 @@
 			return nil, err
 		}
 	}
-	slices.SortStableFunc(s.Lines, func(a, b Line) int { return compare(a, b) })
+	slices.SortStableFunc(s.Lines, compare)
 	s.addBeliefs(beliefs)
 	s.Cause = cause(s.Lines)
 	return s, nil
@@ -71,7 +71,7 @@
 	return strings.Compare(a.Time, b.Time)
 }
 
-func (s *Story) take(text string, beliefs map[string]Line) {
+func (s *Story) take(text string, beliefs map[string][]Line) {
 	at := strings.IndexByte(text, '{')
 	if at < 0 {
 		return
@@ -85,10 +85,7 @@
 		s.Lines = append(s.Lines, line)
 	}
 	if endpoint, ok := line.Values["endpoint"].(string); ok && line.Event/100 == 4 {
-		key := line.VM + " " + endpoint
-		if old, known := beliefs[key]; !known || compare(old, line) <= 0 {
-			beliefs[key] = line
-		}
+		beliefs[endpoint] = append(beliefs[endpoint], line)
 	}
 }
 
@@ -125,17 +122,22 @@
 	return slices.Contains(strings.Split(requests, ","), id)
 }
 
-func (s *Story) addBeliefs(beliefs map[string]Line) {
+// addBeliefs adds the last news of each endpoint of the request before its last line.
+func (s *Story) addBeliefs(beliefs map[string][]Line) {
 	for _, l := range s.Lines {
 		endpoint, _ := l.Values["endpoint"].(string)
-		for key, b := range beliefs {
-			if strings.HasSuffix(key, " "+endpoint) && endpoint != "" {
-				s.Beliefs = append(s.Beliefs, b)
-				delete(beliefs, key)
+		var last *Line
+		for i, b := range beliefs[endpoint] {
+			if compare(b, s.Lines[len(s.Lines)-1]) <= 0 && (last == nil || compare(*last, b) <= 0) {
+				last = &beliefs[endpoint][i]
 			}
 		}
+		if last != nil {
+			s.Beliefs = append(s.Beliefs, *last)
+			delete(beliefs, endpoint)
+		}
 	}
-	slices.SortStableFunc(s.Beliefs, func(a, b Line) int { return compare(a, b) })
+	slices.SortStableFunc(s.Beliefs, compare)
 }
 
 // rule finds a cause in one line of a request.
