--- a/piece/dispatch.go
+++ b/piece/dispatch.go
@@ -129,7 +129,7 @@
 		return true
 	}
 	if now.Sub(u.returned) > budgetPatience && u.job.Due.Before(now) {
-		u.job.end(ErrTries)
+		u.job.end(ErrBudget)
 	}
 	return false
 }
--- a/piece/maker_test.go
+++ b/piece/maker_test.go
@@ -236,7 +236,7 @@
 	begun := time.Now()
 	j.Due = begun.Add(200 * time.Millisecond)
 	_, err := startMaker(t, 0, e).Run(t.Context(), j)
-	is.True(errors.Is(err, ErrTries))
+	is.True(errors.Is(err, ErrBudget))
 	is.True(time.Since(begun) < time.Second)
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/piece/piece.go
+++ b/piece/piece.go
@@ -97,5 +97,6 @@
 	ErrLate       = fault.New(fault.DeadlineExceeded, "the stage could not be made within the deadline; give more time or send fewer requests")
 	ErrInputsGone = fault.New(fault.StageFailed, "a result of an earlier stage no longer exists; it has to be made again")
 	ErrMoved      = fault.New(fault.Stopping, "this VM makes no pieces of the service any more; ask the VM that does")
+	ErrBudget     = fault.New(fault.StageFailed, "the retry budget of the stage's service does not cover making a lost piece again; try again later")
 	ErrTries      = fault.New(fault.StageFailed, "the endpoints of the stage failed several times; look at their logs")
 )
