--- a/piece/call.go
+++ b/piece/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"strings"
 	"time"
 
@@ -73,40 +74,43 @@
 	return "done"
 }
 
-// exchange sends the call and reads its answer.
+// exchange asks an endpoint for items and decodes its answer.
 func (m *Maker) exchange(ctx context.Context, s *document.Service, c *route.Candidate, items []Item) (Answer, error) {
-	return m.send(ctx, s, c, m.Protocol.RunCall(c.ID, c.Addr.String(), items), len(items))
+	r, body, err := m.roundTrip(ctx, s, c, m.Protocol.RunCall(c.ID, c.Addr.String(), items))
+	if err != nil {
+		return Answer{}, err
+	}
+	answer, err := m.Protocol.RunAnswer(r.StatusCode, r.Header, body)
+	if err == nil && !answer.NotRun && len(answer.Results) != len(items) {
+		err = fmt.Errorf("the answer has %d results for %d pieces", len(answer.Results), len(items))
+	}
+	return answer, err
 }
 
-func (m *Maker) send(ctx context.Context, s *document.Service, c *route.Candidate, call *connection.Call, items int) (Answer, error) {
+// roundTrip sends a call and reads its answer whole.
+func (m *Maker) roundTrip(ctx context.Context, s *document.Service, c *route.Candidate, call *connection.Call) (*http.Response, []byte, error) {
 	conn, err := m.Pool.Open(ctx, key(c), c.Addr, s.MaxConnections)
 	if err != nil {
 		if connection.TimedOut(err) {
 			m.Reach.Fail(m.Clock.Now(), c.DataCentre)
 		}
-		return Answer{}, &unsentError{err}
+		return nil, nil, &unsentError{err}
 	}
-	if _, err := conn.Send(ctx, call); err != nil {
-		conn.Close()
-		return Answer{}, err
+	var r *http.Response
+	var body []byte
+	if _, err = conn.Send(ctx, call); err == nil {
+		r, err = conn.Receive(call.Method)
 	}
-	r, err := conn.Receive(call.Method)
-	if err != nil {
-		conn.Close()
-		return Answer{}, err
+	if err == nil {
+		body, err = connection.ReadBody(r, answerBytes)
 	}
-	body, err := connection.ReadBody(r, answerBytes)
 	if err != nil {
 		conn.Close()
-		return Answer{}, err
+		return nil, nil, err
 	}
 	conn.Release(r)
 	m.Reach.Succeed(c.DataCentre)
-	answer, err := m.Protocol.RunAnswer(r.StatusCode, r.Header, body)
-	if err == nil && !answer.NotRun && len(answer.Results) != items {
-		err = fmt.Errorf("the answer has %d results for %d pieces", len(answer.Results), items)
-	}
-	return answer, err
+	return r, body, nil
 }
 
 // unsentError is a failure before anything was sent, so that no endpoint has counted the call.
--- a/piece/held.go
+++ b/piece/held.go
@@ -5,7 +5,6 @@
 	"net/netip"
 	"time"
 
-	"godwitplank/connection"
 	"godwitplank/document"
 	"godwitplank/event"
 	"godwitplank/route"
@@ -95,15 +94,7 @@
 func (m *Maker) sendFrees(ctx context.Context, s *document.Service, c *route.Candidate, handles []string) {
 	ctx, cancel := context.WithTimeout(ctx, callSlack)
 	defer cancel()
-	conn, err := m.Pool.Open(ctx, key(c), c.Addr, s.MaxConnections)
-	if err == nil {
-		call := m.Protocol.FreeCall(c.ID, c.Addr.String(), handles)
-		if _, err = conn.Send(ctx, call); err == nil {
-			err = finish(conn, call.Method)
-		} else {
-			conn.Close()
-		}
-	}
+	_, _, err := m.roundTrip(ctx, s, c, m.Protocol.FreeCall(c.ID, c.Addr.String(), handles))
 	if err != nil {
 		m.Log.Log(event.ResultNotFreed, "handle", handles[0], "error", err.Error())
 		return
@@ -115,18 +106,3 @@
 	}
 	m.dispatch(s.Name, m.queues[s.Name])
 }
-
-// finish reads an answer whose content does not matter.
-func finish(conn *connection.Conn, method string) error {
-	r, err := conn.Receive(method)
-	if err != nil {
-		conn.Close()
-		return err
-	}
-	if _, err := connection.ReadBody(r, answerBytes); err != nil {
-		conn.Close()
-		return err
-	}
-	conn.Release(r)
-	return nil
-}
