--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -228,6 +228,10 @@
 	if x.view.Document != nil {
 		version = x.view.Document.Version
 	}
+	left := time.Duration(0)
+	if !x.deadline.IsZero() {
+		left = x.deadline.Sub(now)
+	}
 	first := time.Duration(-time.Millisecond)
 	if !x.first.IsZero() {
 		first = x.first.Sub(x.arrived)
@@ -235,7 +239,7 @@
 	g.Meter.Request(name, string(outcome), kind, now.Sub(x.arrived))
 	g.Log.Log(event.RequestAnswered, "request_id", x.ID, "route", name, "workspace", x.workspace, "document_version", version,
 		"status", x.status, "kind", kind, "message", message, "stages_ms", x.stages.Milliseconds(), "first_ms", first.Milliseconds(),
-		"took_ms", now.Sub(x.arrived).Milliseconds(), "left_ms", x.deadline.Sub(now).Milliseconds(), "attempts", x.sends,
+		"took_ms", now.Sub(x.arrived).Milliseconds(), "left_ms", left.Milliseconds(), "attempts", x.sends,
 		"retry_after_ms", retryAfter)
 }
 
