gateway: never send a request without its inputs, and charge only what arrived

Found by reading: where lost results could not be made again the next endpoint was sent the request without them. Both tests failed before (a success with no inputs; a refusal where the first endpoint took no connection and the budget was empty).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -51,6 +51,8 @@
 	begun     time.Time
 	stretch   float64
 	uncached  int
+	// arrived is true once any of the call may have reached the endpoint.
+	arrived bool
 	// alarm ends a call that may be repeated elsewhere and takes much too long; nil for the others.
 	alarm *timer.Alarm
 }
@@ -77,18 +79,10 @@
 	var last outcome
 	remade := false
 	for x.sends < mostSends {
-		cause := "first"
-		if !x.first.IsZero() {
-			cause = "resume"
-		} else if x.sends > 0 {
-			cause = "retry"
-		}
-		if x.sends > 0 {
-			if !g.Budget.Take(g.Clock.Now(), x.service.Name, len(x.view.Entries)) {
-				break
-			}
+		if x.reached > 0 && !g.Budget.Take(g.Clock.Now(), x.service.Name, len(x.view.Entries)) {
+			break
 		}
-		o := g.attempt(ctx, x, cause)
+		o := g.attempt(ctx, x)
 		if o.err == nil && o.answer == nil {
 			return nil
 		}
@@ -99,12 +93,17 @@
 		if o.sent {
 			x.ran++
 		}
-		if errors.Is(o.err, errInputsGone) && !remade {
+		if errors.Is(o.err, errInputsGone) {
+			// Without its inputs the request must not be sent again.
+			if remade {
+				break
+			}
 			remade = true
-			if g.remake(ctx, x) {
-				x.tried = nil
-				continue
+			g.freeInputs(x)
+			if err := g.makeStages(ctx, x); err != nil {
+				return err
 			}
+			x.tried = nil
 		}
 		if !g.again(ctx, x, &o) {
 			break
@@ -113,6 +112,17 @@
 	return g.conclude(ctx, x, &last)
 }
 
+// cause says why the next attempt is made.
+func (x *exchange) cause() string {
+	switch {
+	case !x.first.IsZero():
+		return "resume"
+	case x.sends > 0:
+		return "retry"
+	}
+	return "first"
+}
+
 // again reports whether another endpoint may be sent the request.
 func (g *Gateway) again(ctx context.Context, x *exchange, o *outcome) bool {
 	if ctx.Err() != nil || errors.Is(o.err, errNoCandidate) {
@@ -150,19 +160,22 @@
 	With(godwitplank.NotRun, refusedRetryAfter)
 
 // attempt sends the request to one endpoint and passes its answer on.
-func (g *Gateway) attempt(ctx context.Context, x *exchange, cause string) outcome {
-	a, err := g.choose(x, cause)
+func (g *Gateway) attempt(ctx context.Context, x *exchange) outcome {
+	a, err := g.choose(x)
 	if err != nil {
 		return outcome{err: err}
 	}
 	x.sends++
 	o := g.call(ctx, x, a)
+	if a.arrived {
+		x.reached++
+	}
 	g.learn(ctx, x, a, &o)
 	return o
 }
 
 // choose picks the endpoint for the next attempt.
-func (g *Gateway) choose(x *exchange, cause string) (*attempt, error) {
+func (g *Gateway) choose(x *exchange) (*attempt, error) {
 	// The newest view, since endpoints may have begun to leave while the stages were made.
 	candidates := g.Views.View().Pools[x.service.Name]
 	q := route.Query{Now: g.Clock.Now(), DataCentre: g.DataCentre, Model: x.Model, Avoid: x.tried, InputBytes: x.inputBytes, Reach: g.Reach}
@@ -179,7 +192,7 @@
 	a.candidate = &candidates[chosen]
 	x.tried = append(x.tried, a.candidate.ID)
 	g.Log.Log(event.RequestSent, "request_id", x.ID, "endpoint", a.candidate.ID, "addr", a.candidate.Addr.String(), "attempt", x.sends+1,
-		"cause", cause, "candidates", len(candidates), "in_flight", a.candidate.Stat.InFlight(), "cached_tokens", route.Tokens(x.Prefix)-a.uncached,
+		"cause", x.cause(), "candidates", len(candidates), "in_flight", a.candidate.Stat.InFlight(), "cached_tokens", route.Tokens(x.Prefix)-a.uncached,
 		"uncached_tokens", a.uncached, "confirmed", a.candidate.Confirmed, "left_ms", x.deadline.Sub(q.Now).Milliseconds(),
 		"budget_left", g.Budget.Left(q.Now, x.service.Name, len(x.view.Entries)))
 	a.stretch = a.candidate.Begin()
@@ -206,6 +219,7 @@
 		Inputs: x.inputs, Staged: len(x.route.Stages) > 0, LastEvent: x.LastEvent,
 	})
 	sent, err := conn.Send(ctx, call)
+	a.arrived = sent
 	if err != nil {
 		conn.Close()
 		return outcome{err: err, sent: sent}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,10 +70,11 @@
 	inputBytes map[string]int64
 	// home is the data centre of the endpoint that has most of the prompt cached.
 	home string
-	// ran counts the endpoints that may have run the request, sends the calls sent.
-	ran   int
-	sends int
-	tried []string
+	// ran counts the endpoints that may have run the request, reached those that got it, sends the attempts.
+	ran     int
+	reached int
+	sends   int
+	tried   []string
 	// first is when the first byte of the answer went to the caller.
 	first time.Time
 	// status is what the caller was answered.
--- a/gateway/stage.go
+++ b/gateway/stage.go
@@ -285,9 +285,3 @@
 		g.freeInputs(x)
 	}
 }
-
-// remake makes the stages again after a result was lost.
-func (g *Gateway) remake(ctx context.Context, x *exchange) bool {
-	g.freeInputs(x)
-	return g.makeStages(ctx, x) == nil
-}
--- a/piece/broker.go
+++ b/piece/broker.go
@@ -160,7 +160,7 @@
 	return reply.Handles, nil
 }
 
-var errGone = context.DeadlineExceeded
+var errGone = errors.New("the VM that makes the service's pieces is not alive")
 
 func (b *Broker) watch(ctx context.Context, cancel context.CancelCauseFunc, owner string) {
 	ticks := timer.Subscribe(ctx, watchPause)
--- a/piece/dispatch.go
+++ b/piece/dispatch.go
@@ -38,22 +38,8 @@
 	}
 	free, near := m.free(now, s)
 	for i, c := range free {
-		o := offer{now: now, dataCentre: c.DataCentre, near: near, most: s.Batch.Pieces, room: -1}
 		known := m.caller(key(c))
-		if s.Batch.ResultBytes > 0 {
-			o.room = max(0, int64(roomShare*float64(s.Batch.ResultBytes))-known.used)
-			o.empty = known.used <= 0
-		}
-		rivals := 0
-		for _, other := range free[i:] {
-			if other.DataCentre == c.DataCentre {
-				rivals++
-			}
-		}
-		o.share = int(math.Ceil(float64(q.count(now, c.DataCentre, near)) / float64(rivals)))
-		charged := make(map[*pending]bool)
-		o.may = func(u *unit) bool { return m.pay(now, s.Name, u, charged) }
-		units := q.take(o)
+		units := q.take(m.offer(now, s, q, free[i:], near))
 		if len(units) == 0 {
 			continue
 		}
@@ -67,6 +53,27 @@
 	}
 }
 
+// offer returns what the first of the free endpoints can take: its share among those of its data centre, as far as its
+// memory goes.
+func (m *Maker) offer(now time.Time, s *document.Service, q *queue, free []*route.Candidate, near map[string]bool) offer {
+	c, known := free[0], m.caller(key(free[0]))
+	o := offer{now: now, dataCentre: c.DataCentre, near: near, most: s.Batch.Pieces, room: -1}
+	if s.Batch.ResultBytes > 0 {
+		o.room = max(0, int64(roomShare*float64(s.Batch.ResultBytes))-known.used)
+		o.empty = known.used <= 0
+	}
+	rivals := 0
+	for _, other := range free {
+		if other.DataCentre == c.DataCentre {
+			rivals++
+		}
+	}
+	o.share = int(math.Ceil(float64(q.count(now, c.DataCentre, near)) / float64(rivals)))
+	charged := make(map[*pending]bool)
+	o.may = func(u *unit) bool { return m.pay(now, s.Name, u, charged) }
+	return o
+}
+
 // results returns the memory that the results of units take.
 func results(units []*unit) int64 {
 	n := int64(0)
