--- a/scenario/checks_test.go
+++ b/scenario/checks_test.go
@@ -21,7 +21,7 @@
 
 // ready returns the status of a VM's readiness probe.
 func (s *system) ready(vm string) string {
-	response, err := http.Get("http://" + s.vms[vm].addrs["operators_addr"] + "/readyz")
+	response, err := http.Get("http://" + s.vms[vm].addr("operators_addr") + "/readyz")
 	if err != nil {
 		return err.Error()
 	}
--- a/scenario/faults_test.go
+++ b/scenario/faults_test.go
@@ -48,7 +48,7 @@
 	ts.Check(err)
 	replies := make(chan reply, 1)
 	l := startLoad(s, "inflight")
-	l.group.Go(func() { replies <- post(s.vms[args[0]].addrs["callers_addr"], "supply_notice", `"slow"`, "", 0) })
+	l.group.Go(func() { replies <- post(s.vms[args[0]].addr("callers_addr"), "supply_notice", `"slow"`, "", 0) })
 	l.sent.Add(1)
 	time.Sleep(2 * pollPause)
 	ts.Check(s.insist(args[0], version(ts, next, 7), uuid.NewString()))
@@ -58,7 +58,7 @@
 	if !got.own(`"slow"`) || got.version != old {
 		ts.Fatalf("the request in flight was answered with %+v", got)
 	}
-	if got := post(s.vms[args[0]].addrs["callers_addr"], "supply_notice", `"next"`, "", 0); got.version != next {
+	if got := post(s.vms[args[0]].addr("callers_addr"), "supply_notice", `"next"`, "", 0); got.version != next {
 		ts.Fatalf("the next request was answered with %+v", got)
 	}
 }
--- a/scenario/measure_test.go
+++ b/scenario/measure_test.go
@@ -32,13 +32,13 @@
 	for i, pool := range []string{"encoders", "retrievers", "rerankers"} {
 		for k, dc := range []string{"a", "b", "c", "d"} {
 			fmt.Fprintf(&b, "  - {pool: %s, prefix: %s-%s, count: 1, data_centre: dc-%s, slots: 16, latency_ms: %d, announce: [\"%s\"]}\n",
-				pool, strings.TrimSuffix(pool, "s"), dc, dc, 8+4*i, s.vms[s.names[2*k]].addrs["callers_addr"])
+				pool, strings.TrimSuffix(pool, "s"), dc, dc, 8+4*i, s.vms[s.names[2*k]].addr("callers_addr"))
 		}
 	}
 	for i := range measuredRunners {
 		k := i % 4
 		fmt.Fprintf(&b, "  - {pool: language, prefix: language-%d, count: 1, data_centre: dc-%c, slots: %d, latency_ms: 20, token_ms: %d, tokens: %d, models: [m1], announce: [\"%s\"]}\n",
-			i, 'a'+k, measuredSlots, 10+i*15/(measuredRunners-1), measuredTokens, s.vms[s.names[2*k]].addrs["callers_addr"])
+			i, 'a'+k, measuredSlots, 10+i*15/(measuredRunners-1), measuredTokens, s.vms[s.names[2*k]].addr("callers_addr"))
 	}
 	return b.String()
 }
@@ -173,7 +173,7 @@
 	b.Helper()
 	d := &load.Description{Seed: seed, Duration: length}
 	for _, name := range s.names {
-		d.Callers = append(d.Callers, netip.MustParseAddrPort(s.vms[name].addrs["callers_addr"]))
+		d.Callers = append(d.Callers, netip.MustParseAddrPort(s.vms[name].addr("callers_addr")))
 	}
 	for _, tokens := range []bool{false, true} {
 		d.Streams = append(d.Streams, load.Stream{
@@ -198,7 +198,7 @@
 		b.Fatal(err)
 	}
 	for _, name := range s.names {
-		response, err := callers.Get("http://" + s.vms[name].addrs["operators_addr"] + "/metrics")
+		response, err := callers.Get("http://" + s.vms[name].addr("operators_addr") + "/metrics")
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/scenario/prelude_test.go
+++ b/scenario/prelude_test.go
@@ -98,7 +98,7 @@
 
 // ask sends a request to a VM's operators' address.
 func (s *system) ask(vm, method, path string, body []byte, changeID string, value any) error {
-	r, err := http.NewRequest(method, "http://"+s.vms[vm].addrs["operators_addr"]+path, bytes.NewReader(body))
+	r, err := http.NewRequest(method, "http://"+s.vms[vm].addr("operators_addr")+path, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -115,8 +115,8 @@
 	ts.Check(s.add(args))
 	for _, name := range s.names {
 		key := strings.ReplaceAll(name, "-", "_")
-		ts.Setenv("callers_"+key, s.vms[name].addrs["callers_addr"])
-		ts.Setenv("operators_"+key, s.vms[name].addrs["operators_addr"])
+		ts.Setenv("callers_"+key, s.vms[name].addr("callers_addr"))
+		ts.Setenv("operators_"+key, s.vms[name].addr("operators_addr"))
 	}
 }
 
@@ -189,7 +189,7 @@
 }
 
 func (s *system) toolArgs(vm string, args []string) []string {
-	return append([]string{"--server", s.vms[vm].addrs["operators_addr"], "--operator_token_file", s.tokenFile()}, args...)
+	return append([]string{"--server", s.vms[vm].addr("operators_addr"), "--operator_token_file", s.tokenFile()}, args...)
 }
 
 // operateCommand runs the tool against a VM.
@@ -209,7 +209,7 @@
 }
 
 func requestArgs(s *system, args []string) []string {
-	head := []string{"request", args[1], "--callers_addr", s.vms[args[0]].addrs["callers_addr"], "--workspace_key", "crews-key"}
+	head := []string{"request", args[1], "--callers_addr", s.vms[args[0]].addr("callers_addr"), "--workspace_key", "crews-key"}
 	return append(head, args[2:]...)
 }
 
--- a/scenario/system_test.go
+++ b/scenario/system_test.go
@@ -49,7 +49,30 @@
 	cmd        *exec.Cmd
 	exited     chan struct{}
 	err        error
-	addrs      map[string]string
+	// addrs is replaced whole, since relays and probes read it while VMs start.
+	addrs atomic.Pointer[map[string]string]
+}
+
+// addr returns one of the addresses, empty before it is known.
+func (p *process) addr(name string) string {
+	if addrs := p.addrs.Load(); addrs != nil {
+		return (*addrs)[name]
+	}
+	return ""
+}
+
+func (p *process) linkAddr() string {
+	return p.addr("link_addr")
+}
+
+// readAddrs takes the addresses from a file once it is whole.
+func (p *process) readAddrs(path string) error {
+	addrs := make(map[string]string)
+	if err := readJSON(path, &addrs); err != nil {
+		return err
+	}
+	p.addrs.Store(&addrs)
+	return nil
 }
 
 func newSystem(dir string) *system {
@@ -104,7 +127,8 @@
 	if from == to {
 		return nil
 	}
-	r, err := newRelay(func() string { return s.vms[to].addrs["link_addr"] })
+	target := s.vms[to]
+	r, err := newRelay(target.linkAddr)
 	s.relays[[2]string{from, to}] = r
 	return err
 }
@@ -114,7 +138,7 @@
 func (s *system) joins(name string) []string {
 	if s.discover {
 		if first := s.vms[s.names[0]]; first.name != name {
-			return []string{first.addrs["link_addr"]}
+			return []string{first.addr("link_addr")}
 		}
 		return nil
 	}
@@ -143,14 +167,14 @@
 	if p.dataDir != "" {
 		p.args = append(p.args, "--data_dir", p.dataDir)
 	}
-	if p.addrs == nil {
+	if p.addrs.Load() == nil {
 		addrs, err := freeAddrs("callers_addr", "operators_addr", "link_addr")
 		if err != nil {
 			return err
 		}
-		p.addrs = addrs
+		p.addrs.Store(&addrs)
 	}
-	for flag, addr := range p.addrs {
+	for flag, addr := range *p.addrs.Load() {
 		if flag != "vm" {
 			p.args = append(p.args, "--"+flag, addr)
 		}
@@ -209,7 +233,7 @@
 			return fmt.Errorf("%s ended: %v", name, p.err)
 		default:
 		}
-		return readJSON(s.addressesFile(name), &p.addrs)
+		return p.readAddrs(s.addressesFile(name))
 	})
 }
 
@@ -268,20 +292,22 @@
 		return err
 	}
 	s.standins = append(s.standins, p)
-	err := eventually(patience, func() error { return readJSON(file, &p.addrs) })
-	for id, addr := range p.addrs {
+	if err := eventually(patience, func() error { return p.readAddrs(file) }); err != nil {
+		return err
+	}
+	for id, addr := range *p.addrs.Load() {
 		s.addrs[id] = addr
 	}
-	return err
+	return nil
 }
 
 // behave changes the behaviour of an endpoint, or of all with *.
 func (s *system) behave(id, behaviour string) error {
 	for _, p := range s.standins {
-		if _, ok := p.addrs[id]; !ok && id != "*" {
+		if _, ok := (*p.addrs.Load())[id]; !ok && id != "*" {
 			continue
 		}
-		r, err := http.NewRequest(http.MethodPut, "http://"+p.addrs["control"]+"/behaviour/"+id, strings.NewReader(behaviour))
+		r, err := http.NewRequest(http.MethodPut, "http://"+p.addr("control")+"/behaviour/"+id, strings.NewReader(behaviour))
 		if err != nil {
 			return err
 		}
--- a/scenario/traffic_test.go
+++ b/scenario/traffic_test.go
@@ -226,7 +226,7 @@
 		if n%3 == 2 {
 			send = stream
 		}
-		got := send(s.vms[vm].addrs["callers_addr"], pipeline, input, "", 0)
+		got := send(s.vms[vm].addr("callers_addr"), pipeline, input, "", 0)
 		l.sent.Add(1)
 		if !got.own(input) {
 			l.mu.Lock()
@@ -278,7 +278,7 @@
 }
 
 func (l *traffic) order(s *system, vm, input string) {
-	got := post(s.vms[vm].addrs["callers_addr"], "shutoff_order", input, strings.Trim(input, `"`), 1)
+	got := post(s.vms[vm].addr("callers_addr"), "shutoff_order", input, strings.Trim(input, `"`), 1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.told[input] = append(l.told[input], got)
