scenario: give each run a loopback address of its own

Traced: 41 VMs of the run that had ended in the harness were still alive, and met VMs of the same names on ports used again (two VMs vm-g raised their incarnation in turn; another system's counts were merged).

--- a/scenario/system_test.go
+++ b/scenario/system_test.go
@@ -192,7 +192,9 @@
 
 // portBase and portsTaken give each VM of a run ports of its own.
 var (
-	portBase   = rand.IntN(ports)
+	portBase = rand.IntN(ports)
+	// runHost is a loopback address of this run's own, so that its VMs never meet those of another run.
+	runHost    = fmt.Sprintf("127.%d.%d.1", 1+rand.IntN(250), 1+rand.IntN(250))
 	portsTaken atomic.Int64
 )
 
@@ -202,7 +204,7 @@
 	for _, flag := range flags {
 		err := eventually(patience, func() error {
 			port := firstPort + (portBase+int(portsTaken.Add(1)))%ports
-			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", runHost, port))
 			if err != nil {
 				return err
 			}
