--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -12,8 +12,10 @@
 
 // Times of a planned stop.
 const (
-	// stopNotice is how long a stopping VM still takes requests, so that the balancer sees its probe fail.
-	stopNotice = 2800 * time.Millisecond
+	// stopNotice is how long a stopping VM still takes requests, so that the balancer sees its probe fail; graceNotice is
+	// the same where the whole stop is bounded.
+	stopNotice  = 3 * time.Second
+	graceNotice = 2800 * time.Millisecond
 	// stopGrace is added to the longest deadline for what is in flight.
 	stopGrace = 2 * time.Second
 	// lastExchanges is how long the other VMs have to ask for the last counts and for the new leader.
@@ -33,7 +35,11 @@
 	for _, s := range servers {
 		s.SetKeepAlivesEnabled(false)
 	}
-	_ = timer.Wait(ctx, stopNotice)
+	notice := stopNotice
+	if d.Settings.StopGrace > 0 {
+		notice = graceNotice
+	}
+	_ = timer.Wait(ctx, notice)
 	ctx, cancel := context.WithDeadline(ctx, begun.Add(d.stopLimit()))
 	defer cancel()
 	var group sync.WaitGroup
--- a/scenario/traffic_test.go
+++ b/scenario/traffic_test.go
@@ -230,7 +230,7 @@
 		l.sent.Add(1)
 		if !got.own(input) {
 			l.mu.Lock()
-			l.faults = append(l.faults, fmt.Sprintf("%s at %s: %+v", input, vm, got))
+			l.faults = append(l.faults, fmt.Sprintf("%s at %s: %+v (%v)", input, vm, got, got.err))
 			l.mu.Unlock()
 		}
 	}
