--- a/control/view.go
+++ b/control/view.go
@@ -11,6 +11,7 @@
 	"godwitplank/raft"
 	"godwitplank/route"
 	"godwitplank/spend"
+	"godwitplank/timer"
 	"godwitplank/vm"
 )
 
@@ -97,7 +98,7 @@
 	if c.document != nil {
 		s.Admitted = c.document.Admits(e.Pool, e.EndpointID, e.TokenSHA256) || (e.Open && c.document.Service(e.Pool) != nil)
 		if begin, ok := c.plannedStop(e.EndpointID, ""); ok && e.Incarnation < uint64(begin.UnixMilli()) {
-			s.Until = earlier(s.Until, begin)
+			s.Until = timer.Earlier(s.Until, begin)
 		}
 	}
 	v.Endpoints = append(v.Endpoints, s)
@@ -179,10 +180,3 @@
 		}
 	}
 }
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -122,11 +122,11 @@
 	x.service = d.Service(x.route.Pick(rand.Float64()))
 	x.deadline = x.arrived.Add(x.route.Timeout())
 	if x.Remaining > 0 {
-		x.deadline = earlier(x.deadline, x.arrived.Add(x.Remaining))
+		x.deadline = timer.Earlier(x.deadline, x.arrived.Add(x.Remaining))
 	}
 	x.due = x.deadline
 	if x.route.TargetLatencyMS > 0 {
-		x.due = earlier(x.deadline, x.arrived.Add(x.route.TargetLatency()))
+		x.due = timer.Earlier(x.deadline, x.arrived.Add(x.route.TargetLatency()))
 	}
 	g.Budget.Request(x.arrived, x.service.Name)
 	g.Log.Log(event.RequestTaken, "request_id", x.ID, "route", x.route.Name, "workspace", x.workspace,
@@ -244,13 +244,6 @@
 		"retry_after_ms", retryAfter)
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 func splitList(text string) []string {
 	var out []string
 	for _, part := range strings.Split(text, ",") {
--- a/piece/broker.go
+++ b/piece/broker.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"hash/fnv"
 	"slices"
 	"sync"
 	"time"
@@ -14,6 +13,7 @@
 	"godwitplank/event"
 	"godwitplank/fault"
 	"godwitplank/link"
+	"godwitplank/rendezvous"
 	"godwitplank/timer"
 )
 
@@ -101,6 +101,7 @@
 // owner returns the VM that makes a service's jobs by rendezvous hashing over the VMs that are alive.
 func (b *Broker) owner(service string) string {
 	best, bestScore := b.VM, uint64(0)
+	key := rendezvous.Key(service)
 	now := b.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -108,23 +109,13 @@
 		if now.Before(b.suspects[vm]) {
 			continue
 		}
-		if score := rank(service, vm); score > bestScore {
+		if score := rendezvous.Weight(key, vm); score > bestScore {
 			best, bestScore = vm, score
 		}
 	}
 	return best
 }
 
-func rank(service, vm string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(service + "\n" + vm))
-	// FNV's high bits differ little between short names that end alike.
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	return x ^ x>>33
-}
-
 func (b *Broker) suspect(vm string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/route/prefix.go
+++ b/route/prefix.go
@@ -4,6 +4,8 @@
 	"hash/fnv"
 	"sync"
 	"time"
+
+	"godwitplank/rendezvous"
 )
 
 // Part is one part of a prompt that requests may share.
@@ -125,24 +127,13 @@
 		if !usable(q, c) || !c.Confirmed || c.Stat.shed(q.Now.UnixNano()) || q.Reach.Avoid(q.Now, c.DataCentre) {
 			continue
 		}
-		if score := rendezvous(session, c.ID); score > bestScore {
+		if score := rendezvous.Weight(session, c.ID); score > bestScore {
 			best, bestScore = c.ID, score
 		}
 	}
 	return best
 }
 
-func rendezvous(session uint64, id string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(id))
-	x := h.Sum64() ^ session
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 // cached returns the tokens of the longest run of parts from the start that the endpoint is taken to have.
 func (p *Prefixes) cached(now time.Time, s *Stat, parts []Part, hashes []uint64) int {
 	known := p.endpoints[s]
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -22,6 +22,14 @@
 // System is the clock of the machine.
 var System Clock = ClockFunc(time.Now)
 
+// Earlier returns the earlier of two times.
+func Earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // Subscribe returns a channel that gets the time every interval until ctx ends. A slow reader misses ticks.
 func Subscribe(ctx context.Context, interval time.Duration) <-chan time.Time {
 	t := time.NewTicker(interval)
