control: compare a repeated group creation with the leader's group

Cause: the VM asked compared with its own news of the group, which lags the leader's by an exchange, and at that moment still held both the lost replica and the new one of vm-a. Ruled out: the growth to more voters, the group had no disk_losses. Now the leader is asked, and a VM with two replicas counts once (TestSameGroup, seen red). repair and grow passed 5 times in a row.

--- a/control/group.go
+++ b/control/group.go
@@ -29,7 +29,8 @@
 		return nil, fault.New(fault.BadRequest, "%d voters were named; name an odd number of VMs that have a data folder", len(voters))
 	}
 	if known := c.View().Group; known.GetId() != "" {
-		return sameGroup(known.Membership, voters)
+		// The leader's news may not be here yet.
+		return sameGroup(c.Group(ctx).GetMembership(), voters)
 	}
 	m := &raft.Membership{}
 	for _, name := range voters {
@@ -87,6 +88,7 @@
 		}
 	}
 	slices.Sort(have)
+	have = slices.Compact(have) // a VM has two replicas while its new one takes the place of its old one
 	if slices.Equal(have, voters) {
 		return m, nil
 	}
