raft, control: grow the group to bear as many lost disks as the site allows

Version 71 was acknowledged at 44.9 s by core-huon-a-1, core-derwent-a-1 and core-derwent-a-2; the final fault took the disks of the first and the last, and the one voter left could not be elected. Ruled out: a document that was lost, every VM still held version 71; only the read through the log had no majority.

Below that number it never removes a voter and is not repaired. Sites that may lose one disk keep three voters.

--- a/control/control.go
+++ b/control/control.go
@@ -48,6 +48,8 @@
 	Bootstrap bool
 	// SpareAfter is how long a voter's VM is silent before another VM takes its place.
 	SpareAfter time.Duration
+	// DiskLosses is how many disks may be lost at once: the group grows to twice that plus one voters. 0 keeps its number.
+	DiskLosses int
 	// Capacity is this VM's processor share, 0 if it is not known.
 	Capacity float64
 	// HubsOnly exchanges news only with VMs that have a data folder, so that a VM's cost does not grow with the number
--- a/control/repair.go
+++ b/control/repair.go
@@ -1,10 +1,13 @@
 package control
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"godwitplank/event"
 	"godwitplank/raft"
+	"godwitplank/vm"
 )
 
 // DefaultSpareAfter is how long a voter's VM must be silent before another VM takes its place. A VM that
@@ -29,7 +32,7 @@
 
 // survey tells the replication core what this VM knows of the VMs that hold replicas, or might.
 func (c *Control) survey(now time.Time, m *raft.Membership) raft.Survey {
-	s := raft.Survey{Alive: make(map[string]bool), Replaced: make(map[string]bool), Silent: make(map[string]bool)}
+	s := raft.Survey{Voters: c.wantedVoters(), Alive: make(map[string]bool), Replaced: make(map[string]bool), Silent: make(map[string]bool)}
 	for _, r := range m.GetReplicas() {
 		v := c.vms.Find(r.Vm)
 		heard := c.start
@@ -40,12 +43,36 @@
 		}
 		s.Silent[r.Id] = now.Sub(heard) > c.SpareAfter && now.Sub(c.start) > c.SpareAfter
 	}
+	for _, v := range c.spares(now, m) {
+		s.Spares = append(s.Spares, &raft.Replica{Id: v.ReplicaID, Vm: v.Name})
+	}
+	return s
+}
+
+// wantedVoters returns the number of voters of which DiskLosses may lose their disks, 0 for no such number.
+func (c *Control) wantedVoters() int {
+	if c.DiskLosses == 0 {
+		return 0
+	}
+	return 2*c.DiskLosses + 1
+}
+
+// spares returns the VMs that can hold a replica, those in data centres with the fewest members first.
+func (c *Control) spares(now time.Time, m *raft.Membership) []vm.Entry {
+	members := make(map[string]int)
+	for _, r := range m.GetReplicas() {
+		if v := c.vms.Find(r.Vm); v != nil {
+			members[v.DataCentre]++
+		}
+	}
+	var spares []vm.Entry
 	for _, v := range c.vms.Entries() {
 		if v.ReplicaID != "" && !v.Stopping && v.Alive(now) {
-			s.Spares = append(s.Spares, &raft.Replica{Id: v.ReplicaID, Vm: v.Name})
+			spares = append(spares, v)
 		}
 	}
-	return s
+	slices.SortStableFunc(spares, func(a, b vm.Entry) int { return cmp.Compare(members[a.DataCentre], members[b.DataCentre]) })
+	return spares
 }
 
 // handOver gives leadership to the voter that has most of the log.
--- a/raft/repair.go
+++ b/raft/repair.go
@@ -4,6 +4,8 @@
 
 // Survey is what a leader knows of the VMs that hold replicas. The maps go by replica id.
 type Survey struct {
+	// Voters is the number of voters that the group grows to while there are spares; 0 keeps the number it has.
+	Voters int
 	// Alive has the replicas whose VM was heard lately and still holds them.
 	Alive map[string]bool
 	// Replaced has the replicas whose VM came back with another data folder.
@@ -26,13 +28,17 @@
 	RemoveLearner RepairStep = "remove_learner"
 )
 
-// NextMembership returns one step towards a group without lost voters: add the replacement as a learner,
-// promote it once it has all committed entries, then remove the lost replica. The number of copies never falls.
+// NextMembership returns one step towards a group of the surveyed number of voters without lost ones: add the
+// replacement as a learner, promote it once it has all committed entries, then remove the lost replica. The number
+// of copies never falls.
 func NextMembership(s Status, v Survey) (RepairStep, *Membership) {
 	if s.Role != Leader || !s.Settled {
 		return NoStep, nil
 	}
 	lost := lostVoter(s, v)
+	if Voters(s.Membership) < v.Voters {
+		return grow(s, v, lost)
+	}
 	if Voters(s.Membership)%2 == 0 {
 		if lost == nil {
 			// The lost voter came back after its replacement was promoted.
@@ -43,9 +49,40 @@
 	if lost == nil {
 		return dropLearner(s)
 	}
+	if step, next, ok := advanceLearner(s, v); ok {
+		return step, next
+	}
+	if spare := replacement(s, v, lost); spare != nil {
+		return AddLearner, with(s.Membership, spare)
+	}
+	return NoStep, nil
+}
+
+// grow returns one step towards more voters. It never removes one: where a voter is lost as well, it is replaced once
+// the number is reached.
+func grow(s Status, v Survey, lost *Replica) (RepairStep, *Membership) {
+	if step, next, ok := advanceLearner(s, v); ok {
+		return step, next
+	}
+	if lost != nil {
+		if spare := replacement(s, v, lost); spare != nil {
+			return AddLearner, with(s.Membership, spare)
+		}
+	}
+	for _, r := range v.Spares {
+		if !member(s.Membership, r.Id) && !holdsMember(s.Membership, r.Vm) {
+			return AddLearner, with(s.Membership, r)
+		}
+	}
+	return NoStep, nil
+}
+
+// advanceLearner removes a learner whose disk is lost, or promotes one that has all committed entries. It reports
+// whether there is a learner to wait for.
+func advanceLearner(s Status, v Survey) (RepairStep, *Membership, bool) {
 	for _, r := range s.Membership.Replicas {
 		if r.Learner && v.Replaced[r.Id] {
-			return RemoveLearner, without(s.Membership, r.Id)
+			return RemoveLearner, without(s.Membership, r.Id), true
 		}
 	}
 	for _, r := range s.Membership.Replicas {
@@ -53,20 +90,17 @@
 			continue
 		}
 		if s.Match[r.Id] < s.Commit {
-			return NoStep, nil
+			return NoStep, nil, true
 		}
-		return PromoteVoter, promoted(s.Membership, r.Id)
+		return PromoteVoter, promoted(s.Membership, r.Id), true
 	}
-	if spare := replacement(s, v, lost); spare != nil {
-		return AddLearner, with(s.Membership, spare)
-	}
-	return NoStep, nil
+	return NoStep, nil, false
 }
 
 // Repaired reports whether every voter answers and has synced all committed entries, so that the loss of any
-// one loses nothing. Only the leader knows; what it knows is as old as Status.Recent says.
+// minority loses nothing. Only the leader knows; what it knows is as old as Status.Recent says.
 func Repaired(s Status, v Survey) bool {
-	if s.Role != Leader || !s.Settled || Voters(s.Membership)%2 == 0 {
+	if s.Role != Leader || !s.Settled || Voters(s.Membership)%2 == 0 || Voters(s.Membership) < v.Voters {
 		return false
 	}
 	for _, r := range s.Membership.Replicas {
@@ -124,6 +158,16 @@
 	return nil
 }
 
+// holdsMember reports whether a VM holds a member.
+func holdsMember(m *Membership, name string) bool {
+	for _, r := range m.Replicas {
+		if r.Vm == name {
+			return true
+		}
+	}
+	return false
+}
+
 // holdsOther reports whether the VM of a lost replica holds another member already.
 func holdsOther(m *Membership, lost *Replica) bool {
 	for _, r := range m.Replicas {
--- a/raft/repair_test.go
+++ b/raft/repair_test.go
@@ -40,6 +40,16 @@
 		{"a spare waits while the VM itself comes back", voters("a", "b", "c"), Survey{Replaced: map[string]bool{"c": true}, Spares: []*Replica{{Id: "s", Vm: "s"}}}, NoStep},
 		{"a spare stands in where the VM holds another voter", voters("a", "c", "c2"), Survey{Replaced: map[string]bool{"c": true}, Spares: []*Replica{{Id: "c2", Vm: "c"}, {Id: "s", Vm: "s"}}}, AddLearner},
 		{"a spare stands in for a silent voter", voters("a", "b", "c"), Survey{Silent: map[string]bool{"c": true}, Spares: []*Replica{{Id: "s", Vm: "s"}}}, AddLearner},
+		{"the group is to grow", voters("a", "b", "c"), Survey{Voters: 5, Spares: []*Replica{{Id: "s", Vm: "s"}}}, AddLearner},
+		{"a growing group has no spare", voters("a", "b", "c"), Survey{Voters: 5, Spares: []*Replica{{Id: "b", Vm: "b"}}}, NoStep},
+		{"the learner of a growing group lacks entries", learner(voters("a", "b", "c"), "s", 8), Survey{Voters: 5, Alive: map[string]bool{"s": true}}, NoStep},
+		{"the learner of a growing group has all", learner(voters("a", "b", "c"), "s", 9), Survey{Voters: 5, Alive: map[string]bool{"s": true}}, PromoteVoter},
+		{"the learner of a growing group is silent", learner(voters("a", "b", "c"), "s", 9), Survey{Voters: 5, Spares: []*Replica{{Id: "t", Vm: "t"}}}, AddLearner},
+		{"four voters are to be five", voters("a", "b", "c", "d"), Survey{Voters: 5, Spares: []*Replica{{Id: "e", Vm: "e"}}}, AddLearner},
+		{"four voters stay without a spare", voters("a", "b", "c", "d"), Survey{Voters: 5}, NoStep},
+		{"a growing group loses a disk", voters("a", "b", "c"), Survey{Voters: 5, Replaced: map[string]bool{"c": true}, Spares: []*Replica{{Id: "c2", Vm: "c"}}}, AddLearner},
+		{"the grown group is repaired as before", voters("a", "b", "c", "d", "e", "c2"), Survey{Voters: 5, Replaced: map[string]bool{"c": true}}, RemoveVoter},
+		{"the group has more voters than asked for", voters("a", "b", "c", "d", "e"), Survey{Voters: 3}, NoStep},
 		{"a learner nobody needs", learner(voters("a", "b", "c"), "s", 9), Survey{}, RemoveLearner},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/raft/simulation_test.go
+++ b/raft/simulation_test.go
@@ -39,6 +39,10 @@
 	steps   int
 	repairs int
 	wipes   int
+	// voters is the number of voters that the group grows to, 0 for the number that it starts with.
+	voters int
+	// losses is how many disks are lost at once.
+	losses int
 	// lastWipe is the step of the last lost disk.
 	lastWipe int
 }
@@ -64,7 +68,7 @@
 func newSimulation(seed uint64, voters, spares int) *simulation {
 	s := &simulation{
 		random: rand.New(rand.NewPCG(seed, 7)), cut: make(map[[2]int]bool), leaders: make(map[uint64]string),
-		applied: make(map[uint64]string), acked: make(map[uint64]string), quiet: make(map[[2]int]int), chaos: true,
+		applied: make(map[uint64]string), acked: make(map[uint64]string), quiet: make(map[[2]int]int), chaos: true, losses: 1,
 	}
 	m := &Membership{Group: simulatedGroup}
 	for i := range voters {
@@ -233,7 +237,7 @@
 
 // survey is what a leader knows; VMs that are cut off or crashed are not alive.
 func (s *simulation) survey(leader int) Survey {
-	v := Survey{Alive: make(map[string]bool), Replaced: make(map[string]bool), Silent: make(map[string]bool)}
+	v := Survey{Voters: s.voters, Alive: make(map[string]bool), Replaced: make(map[string]bool), Silent: make(map[string]bool)}
 	l := s.nodes[leader]
 	for i, n := range s.nodes {
 		alive := n.core != nil && !s.cut[[2]int{i, leader}] && !s.cut[[2]int{leader, i}]
@@ -313,10 +317,12 @@
 		}
 		s.lastWipe = s.steps
 		voters := n.core.membership.Replicas
-		lost := s.nodes[s.nodeOf(voters[s.random.IntN(len(voters))].Id)]
-		s.wipes++
-		lost.core = nil
-		lost.disk = stored{id: fmt.Sprintf("%s-%d", lost.vm, s.wipes)}
+		for _, j := range s.random.Perm(len(voters))[:s.losses] {
+			lost := s.nodes[s.nodeOf(voters[j].Id)]
+			s.wipes++
+			lost.core = nil
+			lost.disk = stored{id: fmt.Sprintf("%s-%d", lost.vm, s.wipes)}
+		}
 		return
 	}
 }
@@ -413,9 +419,19 @@
 	return n
 }
 
+// group is the size of a simulated group.
+type group struct {
+	voters, spares int
+	// grown is the number of voters that it grows to, 0 if it keeps the first number.
+	grown int
+	// losses is how many disks it bears to lose at once.
+	losses int
+}
+
 // run returns a simulation that lived through its chaos, settled, and lost nothing.
-func run(seed uint64, voters, steps int) *simulation {
-	s := newSimulation(seed, voters, 2)
+func run(seed uint64, g group, steps int) *simulation {
+	s := newSimulation(seed, g.voters, g.spares)
+	s.voters, s.losses = g.grown, g.losses
 	for range steps {
 		s.step()
 	}
@@ -424,15 +440,24 @@
 	return s
 }
 
-// TestRandomRuns runs groups of 3 and 5 voters and two spares through loss, doubling, reordering, cuts, crashes
+// TestRandomRuns runs groups of 3 and 5 voters and some spares through loss, doubling, reordering, cuts, crashes
 // that lose what was not synced, and lost disks. Invariants stand in the core and in the simulation.
 func TestRandomRuns(t *testing.T) {
-	for _, voters := range []int{3, 5} {
-		t.Run(fmt.Sprintf("%d_voters", voters), func(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		group
+	}{
+		{"3_voters", group{voters: 3, spares: 2, losses: 1}},
+		{"5_voters", group{voters: 5, spares: 2, losses: 2}},
+		{"5_voters_of_5", group{voters: 5, grown: 5, losses: 2}},
+		{"3_grown_to_5", group{voters: 3, spares: 2, grown: 5, losses: 2}},
+		{"3_grown_to_5_with_spares", group{voters: 3, spares: 4, grown: 5, losses: 2}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
 			seeds, acked, repairs, wipes := 0, 0, 0, 0
 			rapid.Check(t, func(r *rapid.T) {
 				seed := rapid.Uint64().Draw(r, "seed")
-				s := run(seed, voters, steps(t))
+				s := run(seed, c.group, steps(t))
 				seeds++
 				acked += len(s.acked)
 				repairs += s.repairs
--- a/scenario/prelude_test.go
+++ b/scenario/prelude_test.go
@@ -20,31 +20,37 @@
 	"godwitplank/fault"
 )
 
-// Systems of the scripts. Three of the VMs have a disk.
+// Systems of the scripts. Three of the VMs have a disk, in "five" all.
 var systems = map[string]struct {
 	vms       []string
 	voters    string
 	standins  string
 	endpoints int
+	flags     []string
 }{
 	"three": {
 		[]string{"vm-a:dc-a:disk", "vm-b:dc-b:disk", "vm-c:dc-c:disk"},
-		"vm-a,vm-b,vm-c", "standins.yaml", 13,
+		"vm-a,vm-b,vm-c", "standins.yaml", 13, nil,
+	},
+	"five": {
+		[]string{"vm-a:dc-a:disk", "vm-b:dc-b:disk", "vm-c:dc-c:disk", "vm-d:dc-a:disk", "vm-e:dc-b:disk"},
+		"vm-a,vm-b,vm-c", "standins.yaml", 13, []string{"--disk_losses", "2"},
 	},
 	"eight": {
 		[]string{
 			"vm-a:dc-a:disk", "vm-b:dc-a", "vm-c:dc-b:disk", "vm-d:dc-b",
 			"vm-e:dc-c:disk", "vm-f:dc-c", "vm-g:dc-d", "vm-h:dc-d",
 		},
-		"vm-a,vm-c,vm-e", "standins-eight.yaml", 32,
+		"vm-a,vm-c,vm-e", "standins-eight.yaml", 32, nil,
 	},
 }
 
-// systemCommand starts a whole system with the example document and waits until every VM serves: system three|eight [discover|trace]
+// systemCommand starts a whole system with the example document and waits until every VM serves: system three|five|eight [discover|trace]
 func systemCommand(ts *testscript.TestScript, _ bool, args []string) {
 	kind, s := systems[args[0]], systemOf(ts)
 	s.discover = len(args) > 1 && args[1] == "discover"
 	s.trace = len(args) > 1 && args[1] == "trace"
+	s.extra = append(s.extra, kind.flags...)
 	vmsCommand(ts, false, kind.vms)
 	examples := filepath.Join(sourceDir, "..", "example")
 	document, err := os.ReadFile(filepath.Join(examples, "document.yaml"))
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -48,6 +48,8 @@
 	// Bootstrap makes the first group of the VMs in Join.
 	Bootstrap  bool
 	SpareAfter time.Duration
+	// DiskLosses is how many disks may be lost at once; 0 leaves the number of voters as it is.
+	DiskLosses int
 	// MemoryMB is what the process may use, 0 for no limit.
 	MemoryMB int
 	// StopGrace is the longest time from a signal to the end, 0 for as long as the longest deadline.
@@ -83,6 +85,7 @@
 	{"join_port", "0", "port that replaces the one of each address in --join; 0 to keep them", joinPort},
 	{"bootstrap", "false", "true to make the first group of the VMs in --join; --vm is then the IP of --link_addr", bootstrap},
 	{"spare_after", "60s", "silence of a voter's VM after which another VM takes its place", func(s *Settings, v string) error { return span(&s.SpareAfter, v) }},
+	{"disk_losses", "0", "number of disks that may be lost at once; the group grows to twice that plus one voters, 0 to keep its number", func(s *Settings, v string) error { return count(&s.DiskLosses, v) }},
 	{"discover", "true", "false to link only to the addresses of --join", discover},
 	{"hubs_only", "false", "true to exchange news only with VMs that have a data folder", func(s *Settings, v string) error { return boolean(&s.HubsOnly, v) }},
 	{"data_dir", "", "data folder; empty on a VM without a disk", func(s *Settings, v string) error { s.DataDir = v; return nil }},
