--- a/scenario/prelude_test.go
+++ b/scenario/prelude_test.go
@@ -34,7 +34,8 @@
 	},
 	"five": {
 		[]string{"vm-a:dc-a:disk", "vm-b:dc-b:disk", "vm-c:dc-c:disk", "vm-d:dc-a:disk", "vm-e:dc-b:disk"},
-		"vm-a,vm-b,vm-c", "standins.yaml", 13, []string{"--disk_losses", "2"},
+		"vm-a,vm-b,vm-c", "standins.yaml", 13,
+		[]string{"--disk_losses", "2"},
 	},
 	"eight": {
 		[]string{
