--- a/console/status.go
+++ b/console/status.go
@@ -108,7 +108,7 @@
 func endpointStatus(now time.Time, e control.EndpointStatus) EndpointStatus {
 	s := EndpointStatus{
 		EndpointID: e.EndpointID, Pool: e.Pool, DataCentre: e.DataCentre, Address: e.Address,
-		State: endpointState(now, e), InFlight: e.InFlight,
+		State: e.State(now), InFlight: e.InFlight,
 	}
 	if now.Before(e.ClaimedUntil) {
 		s.Conflict = e.Claimant
@@ -116,20 +116,6 @@
 	return s
 }
 
-func endpointState(now time.Time, e control.EndpointStatus) string {
-	switch {
-	case e.Leaving:
-		return "leaving"
-	case now.After(e.Expires):
-		return "lost"
-	case !e.Admitted:
-		return "not_admitted"
-	case now.After(e.Until):
-		return "planned_stop"
-	}
-	return "working"
-}
-
 func vmState(alive, stopping bool) string {
 	switch {
 	case !alive:
--- a/control/control.go
+++ b/control/control.go
@@ -19,6 +19,7 @@
 	"godwitplank/route"
 	"godwitplank/spend"
 	"godwitplank/state"
+	"godwitplank/telemetry"
 	"godwitplank/timer"
 	"godwitplank/vm"
 	"godwitplank/workspace"
@@ -62,6 +63,8 @@
 	Limiter *workspace.Limiter
 	// Tally has what this VM's requests use.
 	Tally *spend.Tally
+	// Meter counts commits and syncs; nil counts nothing.
+	Meter *telemetry.Meter
 	// Pieces makes pieces for other VMs; nil on a VM that takes no callers' requests.
 	Pieces PieceServer
 	Log    event.Logger
@@ -79,6 +82,7 @@
 	dirty       bool
 	document    *document.Document
 	stored      *state.DocumentChange
+	inForce     time.Time
 	endpoints   endpoint.Table
 	stats       map[statKey]*route.Stat
 	vms         vm.Table
@@ -260,6 +264,7 @@
 	}
 	c.document = parsed
 	c.stored = proto.CloneOf(d)
+	c.inForce = c.Clock.Now()
 	c.dirty = true
 	c.Log.Log(event.DocumentInForce, "document_version", d.Version, "digest", d.Digest)
 }
--- a/control/propose.go
+++ b/control/propose.go
@@ -25,9 +25,11 @@
 func (c *Control) propose(ctx context.Context, command *state.Command) (*state.Result, error) {
 	command.Id = uuid.NewString()
 	hint := ""
+	begun := c.Clock.Now()
 	for {
 		result, next := c.proposeOnce(ctx, command, hint)
 		if result != nil {
+			c.Meter.Commit(c.Clock.Now().Sub(begun))
 			return result, nil
 		}
 		hint = next
--- a/control/replica.go
+++ b/control/replica.go
@@ -70,10 +70,15 @@
 	r := c.replica
 	for r != nil && c.failure == nil && r.core.Pending() {
 		out := r.core.Output()
-		if err := r.store(out); err != nil {
+		begun := c.Clock.Now()
+		stored, err := r.store(out)
+		if err != nil {
 			c.failure = fmt.Errorf("cannot store the replicated log: %w; mend the disk and start the VM again", err)
 			return
 		}
+		if stored {
+			c.Meter.Sync(c.Clock.Now().Sub(begun))
+		}
 		r.core.Synced()
 		for _, m := range out.Messages {
 			c.post(m)
@@ -85,18 +90,19 @@
 	}
 }
 
-func (r *replica) store(out raft.Output) error {
+// store writes and syncs what changed, and reports whether there was anything.
+func (r *replica) store(out raft.Output) (bool, error) {
 	if out.Snapshot != nil {
 		state := out.HardState
 		if state == nil {
 			state = r.core.HardState()
 		}
-		return r.log.Compact(out.Snapshot, state, out.Entries)
+		return true, r.log.Compact(out.Snapshot, state, out.Entries)
 	}
 	if out.HardState == nil && len(out.Entries) == 0 {
-		return nil
+		return false, nil
 	}
-	return r.log.Append(&raft.Batch{HardState: out.HardState, Entries: out.Entries})
+	return true, r.log.Append(&raft.Batch{HardState: out.HardState, Entries: out.Entries})
 }
 
 func (c *Control) apply(out raft.Output) {
--- a/control/view.go
+++ b/control/view.go
@@ -22,6 +22,8 @@
 	// Canonical is the stored form of Document.
 	Canonical []byte
 	Digest    string
+	// InForce is when this VM put the document in force.
+	InForce time.Time
 	// Pools has the admitted endpoints of each pool.
 	Pools     map[string][]route.Candidate
 	Endpoints []EndpointStatus
@@ -54,6 +56,21 @@
 	Until time.Time
 }
 
+// State returns the word for what the endpoint is in.
+func (e EndpointStatus) State(now time.Time) string {
+	switch {
+	case e.Leaving:
+		return "leaving"
+	case now.After(e.Expires):
+		return "lost"
+	case !e.Admitted:
+		return "not_admitted"
+	case now.After(e.Until):
+		return "planned_stop"
+	}
+	return "working"
+}
+
 // stopMargin is added to the longest deadline before an endpoint's planned stop.
 const stopMargin = 3 * time.Second
 
@@ -65,7 +82,7 @@
 func (c *Control) publish() {
 	now := c.Clock.Now()
 	v := &View{
-		Document: c.document, Canonical: c.stored.GetCanonical(), Digest: c.stored.GetDigest(),
+		Document: c.document, Canonical: c.stored.GetCanonical(), Digest: c.stored.GetDigest(), InForce: c.inForce,
 		Pools: make(map[string][]route.Candidate), VMs: c.vms.Entries(), Group: c.groupView(),
 		Stopping: c.stopping, At: now, alive: 1 + c.vms.Alive(now),
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -118,8 +118,12 @@
 	s := d.Settings
 	limiter := &workspace.Limiter{Started: timer.System.Now()}
 	tally := &spend.Tally{}
+	meter, err := telemetry.NewMeter()
+	if err != nil {
+		return err
+	}
 	d.control = &control.Control{
-		Limiter: limiter, Tally: tally,
+		Limiter: limiter, Tally: tally, Meter: meter,
 		Name: s.VM, DataCentre: s.DataCentre, Incarnation: incarnation,
 		LinkAddr: bound.LinkAddr, OperatorsAddr: bound.OperatorsAddr, CallersAddr: bound.CallersAddr,
 		Join: s.Join, Discover: s.Discover, HubsOnly: s.HubsOnly, Capacity: s.Capacity, Bootstrap: s.Bootstrap, SpareAfter: s.SpareAfter, DiskLosses: s.DiskLosses, Clock: timer.System, Log: d.log,
@@ -130,10 +134,6 @@
 	if err := d.control.Init(); err != nil {
 		return err
 	}
-	meter, err := telemetry.NewMeter()
-	if err != nil {
-		return err
-	}
 	d.meter = meter
 	d.runner = &pipeline.Runner{
 		VM: s.VM, Incarnation: incarnation, DataCentre: s.DataCentre,
@@ -149,6 +149,9 @@
 		Views: d.control, Announcer: d.control, Runner: d.runner, Limiter: limiter,
 		Clock: timer.System, Meter: meter, Log: d.log,
 	}
+	if err := meter.Add(d.gauges()...); err != nil {
+		return err
+	}
 	operators := &console.Console{
 		Name: s.VM, DataCentre: s.DataCentre, OperatorsAddr: bound.OperatorsAddr, CallersAddr: bound.CallersAddr,
 		Views: d.control, Operations: d.control, Metrics: meter.Handler(), Token: s.OperatorToken, Log: d.log,
--- /dev/null
+++ b/daemon/gauges.go
@@ -0,0 +1,105 @@
+package daemon
+
+import (
+	"godwitplank/telemetry"
+	"godwitplank/timer"
+)
+
+// gauges are the figures of the VM's present state.
+func (d *Daemon) gauges() []telemetry.Gauge {
+	return []telemetry.Gauge{
+		{Name: "godwitplank_ready", Description: "1 while the VM tells the balancer that it is ready.", Read: d.readReady},
+		{Name: "godwitplank_document_version", Description: "Version of the document in force.", Read: d.readVersion},
+		{Name: "godwitplank_document_age_seconds", Description: "Time since the document was put in force here.", Read: d.readAge},
+		{Name: "godwitplank_endpoints", Description: "Endpoints by pool and state.", Read: d.readEndpoints},
+		{Name: "godwitplank_vms_alive", Description: "VMs that are alive as this one knows, itself among them.", Read: d.readVMs},
+		{Name: "godwitplank_stage_queue_pieces", Description: "Pieces of a stage's service that wait here for an endpoint.", Read: d.readQueues},
+		{Name: "godwitplank_retry_budget_left", Description: "Calls of a service that this VM may still repeat now.", Read: d.readBudgets},
+		{Name: "godwitplank_log_lines_dropped", Description: "Log lines that the output did not take in time, since the start.", Read: d.readDropped},
+	}
+}
+
+func one(value float64) []telemetry.Reading {
+	return []telemetry.Reading{{Value: value}}
+}
+
+func (d *Daemon) readReady() []telemetry.Reading {
+	if v := d.control.View(); v.Ready && !v.Stopping {
+		return one(1)
+	}
+	return one(0)
+}
+
+func (d *Daemon) readVersion() []telemetry.Reading {
+	if v := d.control.View(); v.Document != nil {
+		return one(float64(v.Document.Version))
+	}
+	return one(0)
+}
+
+func (d *Daemon) readAge() []telemetry.Reading {
+	v := d.control.View()
+	if v.InForce.IsZero() {
+		return nil
+	}
+	return one(timer.System.Now().Sub(v.InForce).Seconds())
+}
+
+func (d *Daemon) readEndpoints() []telemetry.Reading {
+	v := d.control.View()
+	type group struct{ pool, state string }
+	counts := make(map[group]int)
+	for _, e := range v.Endpoints {
+		counts[group{e.Pool, e.State(v.At)}]++
+	}
+	var out []telemetry.Reading
+	for g, n := range counts {
+		out = append(out, telemetry.Reading{Value: float64(n), Labels: []string{"pool", g.pool, "state", g.state}})
+	}
+	return out
+}
+
+func (d *Daemon) readVMs() []telemetry.Reading {
+	v := d.control.View()
+	alive := 0
+	for i := range v.VMs {
+		if v.VMs[i].Alive(v.At) {
+			alive++
+		}
+	}
+	return one(float64(alive + 1))
+}
+
+func (d *Daemon) readQueues() []telemetry.Reading {
+	if d.routes == nil {
+		return nil
+	}
+	var out []telemetry.Reading
+	for service, n := range d.routes.maker.Waiting() {
+		out = append(out, telemetry.Reading{Value: float64(n), Labels: []string{"service", service}})
+	}
+	return out
+}
+
+func (d *Daemon) readBudgets() []telemetry.Reading {
+	v := d.control.View()
+	if d.routes == nil || v.Document == nil {
+		return nil
+	}
+	var out []telemetry.Reading
+	for i := range v.Document.Services {
+		s := &v.Document.Services[i]
+		// The VM that makes a service's pieces has the whole budget of the service.
+		vms := 1
+		if s.Batch == nil {
+			vms = len(v.Entries)
+		}
+		left := d.routes.gateway.Budget.Left(timer.System.Now(), s.Name, vms)
+		out = append(out, telemetry.Reading{Value: float64(left), Labels: []string{"service", s.Name}})
+	}
+	return out
+}
+
+func (d *Daemon) readDropped() []telemetry.Reading {
+	return one(float64(d.output.Dropped()))
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -33,12 +33,13 @@
 	RequestSent       = Event{504, log.InfoLevel, "request sent to an endpoint", "request_id, endpoint, addr, attempt, cause, candidates, in_flight, cached_tokens, uncached_tokens, confirmed, left_ms, budget_left", "nothing"}
 	RequestAnswered   = Event{505, log.InfoLevel, "request answered", "request_id, route, workspace, document_version, status, kind, message, stages_ms, first_ms, took_ms, left_ms, attempts, retry_after_ms", "if kind is not empty, follow the request's other lines"}
 	AttemptFailed     = Event{506, log.WarnLevel, "attempt failed", "request_id, endpoint, error, sent, not_run, took_ms, shed_ms", "look at the endpoint if it repeats"}
-	StreamResumed     = Event{507, log.InfoLevel, "stream resumed at another endpoint", "request_id, endpoint, last_event", "nothing"}
+	StreamResumed     = Event{507, log.InfoLevel, "stream resumed at another endpoint", "request_id, endpoint, last_event, passed_ms", "nothing"}
 	PiecesMade        = Event{508, log.InfoLevel, "pieces of a stage made", "service, endpoint, pieces, requests, waited_ms, took_ms, predicted_ms, without_room, result", "if took_ms is far over predicted_ms, the endpoint is slow"}
 	StageDone         = Event{509, log.InfoLevel, "stage of a request done", "request_id, stage, service, pieces, took_ms, error", "if took_ms is long, look for event 508 of the service"}
 	ResultNotFreed    = Event{510, log.InfoLevel, "stage result not given back", "handle, error", "nothing; it expires by itself"}
 	MakerFailed       = Event{511, log.WarnLevel, "VM that makes pieces failed", "request_id, service, peer, error", "look whether the VM or the link to it failed"}
 	RequestTaken      = Event{512, log.DebugLevel, "request taken", "request_id, route, workspace, document_version, left_ms", "nothing"}
+	RepeatRefused     = Event{513, log.WarnLevel, "request not sent again: the retry budget is spent", "request_id, service, attempts, budget_left, vms", "look why the service's endpoints fail: event 506"}
 	DocumentInForce   = Event{601, log.InfoLevel, "document in force", "document_version, digest", "nothing"}
 	DocumentRefused   = Event{602, log.InfoLevel, "document refused", "document_version, kind, message", "mend the document and submit it again"}
 )
@@ -50,6 +51,6 @@
 	VMHeard, VMLost, LinkReset,
 	EndpointHeard, EndpointLeaving, EndpointLost, EndpointClash, EndpointShed,
 	RequestRefused, AnswerDropped, OrderUnknown,
-	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, PiecesMade, StageDone, ResultNotFreed, MakerFailed, RequestTaken,
+	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, PiecesMade, StageDone, ResultNotFreed, MakerFailed, RequestTaken, RepeatRefused,
 	DocumentInForce, DocumentRefused,
 }
--- a/event/queue.go
+++ b/event/queue.go
@@ -13,7 +13,8 @@
 // Queue is a writer that never blocks: lines that the output does not take in time are dropped and counted.
 type Queue struct {
 	lines   chan []byte
-	dropped atomic.Int64
+	dropped atomic.Int64 // since the last line that told of it
+	lost    atomic.Int64
 	group   sync.WaitGroup
 }
 
@@ -30,10 +31,16 @@
 	case q.lines <- append([]byte(nil), line...):
 	default:
 		q.dropped.Add(1)
+		q.lost.Add(1)
 	}
 	return len(line), nil
 }
 
+// Dropped returns the number of lines that were dropped since the start.
+func (q *Queue) Dropped() int64 {
+	return q.lost.Load()
+}
+
 // pump writes what waits; lines that come together go in one write.
 func (q *Queue) pump(w io.Writer) {
 	var batch []byte
--- a/explain/story.go
+++ b/explain/story.go
@@ -177,6 +177,9 @@
 	{event.AttemptFailed.Number, func(l *Line) string {
 		return fmt.Sprintf("endpoint %s failed after %.0f ms: %s", l.text("endpoint"), l.number("took_ms"), l.text("error"))
 	}},
+	{event.RepeatRefused.Number, func(l *Line) string {
+		return fmt.Sprintf("the retry budget of service %s is spent after %.0f attempts, shared by %.0f VMs", l.text("service"), l.number("attempts"), l.number("vms"))
+	}},
 	{event.RequestAnswered.Number, func(l *Line) string {
 		if l.text("kind") == "" {
 			return ""
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -79,7 +79,7 @@
 	var last outcome
 	remade := false
 	for x.sends < mostSends {
-		if x.reached > 0 && !g.Budget.Take(g.Clock.Now(), x.service.Name, len(x.view.Entries)) {
+		if x.reached > 0 && !g.repeats(x) {
 			break
 		}
 		o := g.attempt(ctx, x)
@@ -112,6 +112,16 @@
 	return g.conclude(ctx, x, &last)
 }
 
+// repeats takes a repeated call from the budget, if that covers it.
+func (g *Gateway) repeats(x *exchange) bool {
+	now, vms := g.Clock.Now(), len(x.view.Entries)
+	if g.Budget.Take(now, x.service.Name, vms) {
+		return true
+	}
+	g.Log.Log(event.RepeatRefused, "request_id", x.ID, "service", x.service.Name, "attempts", x.sends, "budget_left", g.Budget.Left(now, x.service.Name, vms), "vms", vms)
+	return false
+}
+
 // cause says why the next attempt is made.
 func (x *exchange) cause() string {
 	switch {
@@ -195,6 +205,9 @@
 		"cause", x.cause(), "candidates", len(candidates), "in_flight", a.candidate.Stat.InFlight(), "cached_tokens", route.Tokens(x.Prefix)-a.uncached,
 		"uncached_tokens", a.uncached, "confirmed", a.candidate.Confirmed, "left_ms", x.deadline.Sub(q.Now).Milliseconds(),
 		"budget_left", g.Budget.Left(q.Now, x.service.Name, len(x.view.Entries)))
+	if !x.first.IsZero() {
+		g.Log.Log(event.StreamResumed, "request_id", x.ID, "endpoint", a.candidate.ID, "last_event", x.LastEvent, "passed_ms", q.Now.Sub(x.first).Milliseconds())
+	}
 	a.stretch = a.candidate.Begin()
 	return a, nil
 }
--- a/piece/maker.go
+++ b/piece/maker.go
@@ -126,6 +126,17 @@
 	}
 }
 
+// Waiting returns how many pieces of each service wait for an endpoint.
+func (m *Maker) Waiting() map[string]int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[string]int, len(m.queues))
+	for name, q := range m.queues {
+		out[name] = len(q.waiting)
+	}
+	return out
+}
+
 // Known returns the services that this maker had jobs of.
 func (m *Maker) Known() []string {
 	m.mu.Lock()
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -16,7 +16,7 @@
 
 // Ports of the VMs; each VM has a loopback address of its own.
 const (
-	linkPort, operatorsPort, routesPort, readyPort, controlPort = 7740, 7741, 8625, 8621, 8628
+	linkPort, operatorsPort, routesPort, readyPort, controlPort, metricsPort = 7740, 7741, 8625, 8621, 8628, 9464
 )
 
 // programs is the folder of the built programs.
@@ -69,7 +69,7 @@
 	lines := []string{
 		"vm: " + quote(p.ip), "data_centre: " + quote(p.zone), "link_addr: " + quote(p.addr(linkPort)),
 		"operators_addr: " + quote(p.addr(operatorsPort)), "join: " + quote(strings.Join(join, ",")),
-		`spare_after: "2s"`, `stop_grace: "6s"`, `hubs_only: "true"`, `retry_slack: "50"`,
+		"metrics_addr: " + quote(p.addr(metricsPort)), `spare_after: "2s"`, `stop_grace: "6s"`, `hubs_only: "true"`, `retry_slack: "50"`,
 	}
 	if p.disk {
 		lines = append(lines, `callers_addr: ""`, "control_addr: "+quote(p.addr(controlPort)), "data_dir: "+quote(p.dataDir), fmt.Sprintf("bootstrap: %q", fmt.Sprint(bootstrap)))
@@ -107,6 +107,12 @@
 	return nil
 }
 
+// kill ends the process at once.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	p.wait()
+}
+
 // signal sends a signal to the process if it runs.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
@@ -193,8 +199,7 @@
 
 // wipe starts a control VM again with an empty data folder.
 func (c *cluster) wipe(p *process) error {
-	p.signal(syscall.SIGKILL)
-	p.wait()
+	p.kill()
 	if err := os.RemoveAll(p.dataDir); err != nil {
 		return err
 	}
@@ -208,8 +213,7 @@
 func (c *cluster) close() {
 	for _, p := range c.all() {
 		p.signal(syscall.SIGCONT)
-		p.signal(syscall.SIGKILL)
-		p.wait()
+		p.kill()
 		_ = p.log.Close()
 	}
 	for _, p := range c.proxies {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,9 +4,12 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
 	"sync"
 	"syscall"
 	"testing"
@@ -138,6 +141,33 @@
 	if len(w.outcomes.served) != len(kinds) {
 		t.Errorf("served are %v only", w.outcomes.served)
 	}
+	w.checkFigures(t)
+}
+
+// checkFigures looks for the figures of each VM on its metrics address.
+func (w *world) checkFigures(t *testing.T) {
+	t.Helper()
+	for _, p := range w.cluster.all() {
+		answer, err := http.Get("http://" + p.addr(metricsPort) + "/metrics")
+		check(t, err)
+		body, err := io.ReadAll(answer.Body)
+		_ = answer.Body.Close()
+		check(t, err)
+		figures := []string{
+			fmt.Sprintf("godwitplank_document_version{.*} %d\n", w.operator.newest()), `godwitplank_vms_alive{.*} 5\n`,
+			`godwitplank_endpoints{.*pool="orders",state="working"} [23]\n`, "godwitplank_document_age_seconds", "godwitplank_log_lines_dropped",
+		}
+		if p.disk {
+			figures = append(figures, `godwitplank_sync_seconds_count{.*} [1-9]`, `godwitplank_commit_seconds`)
+		} else {
+			figures = append(figures, `godwitplank_requests_total{.*outcome="done".*} [1-9]`, `godwitplank_retry_budget_left{.*service="orders"`)
+		}
+		for _, f := range figures {
+			if !regexp.MustCompile(f).Match(body) {
+				t.Errorf("%s is missing at %s in\n%s", f, p.name, body)
+			}
+		}
+	}
 }
 
 // Whatever fails, no promise is broken, and service is back once the faults end.
--- a/soak/standin_test.go
+++ b/soak/standin_test.go
@@ -22,6 +22,8 @@
 type rates struct {
 	// reset closes the connection after the run, refuse answers that nothing ran, fail answers with a failure.
 	reset, refuse, fail float64
+	// slow is added to the time of a call for pieces.
+	slow time.Duration
 	// cut ends a stream early, stall lets one stand still.
 	cut, stall float64
 }
@@ -258,7 +260,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	time.Sleep(10*time.Millisecond + time.Duration(len(call.Items))*time.Millisecond)
+	s.mu.Lock()
+	slow := s.rates.slow
+	s.mu.Unlock()
+	time.Sleep(slow + 10*time.Millisecond + time.Duration(len(call.Items))*time.Millisecond)
 	if s.chance(func(r rates) float64 { return r.reset }) {
 		panic(http.ErrAbortHandler)
 	}
--- a/soak/traffic_test.go
+++ b/soak/traffic_test.go
@@ -66,6 +66,11 @@
 	if c.random.IntN(20) == 0 {
 		patience = time.Duration(c.random.IntN(50)) * time.Millisecond // leaves early
 	}
+	c.send(p, kind, id, patience)
+}
+
+// send sends a request of an id and checks what comes back.
+func (c *caller) send(p *process, kind, id string, patience time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.addr(routesPort)+"/"+kind+"/x", strings.NewReader("body of "+id))
--- /dev/null
+++ b/telemetry/gauge_test.go
@@ -0,0 +1,48 @@
+package telemetry
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestFigures(t *testing.T) {
+	is := is.New(t)
+	m, err := NewMeter()
+	is.NoErr(err)
+	is.NoErr(m.Add(
+		Gauge{"godwitplank_ready", "Whether the VM is ready.", func() []Reading { return []Reading{{Value: 1}} }},
+		Gauge{"godwitplank_endpoints", "Endpoints.", func() []Reading {
+			return []Reading{{2, []string{"pool", "rank", "state", "working"}}, {1, []string{"pool", "rank", "state", "lost"}}}
+		}},
+	))
+	m.Commit(3 * time.Millisecond)
+	m.Sync(time.Millisecond)
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	text := w.Body.String()
+	for _, line := range []string{
+		`godwitplank_endpoints{otel_scope_name="godwitplank",otel_scope_schema_url="",otel_scope_version="",pool="rank",state="lost"} 1`,
+		`pool="rank",state="working"} 2`,
+		"godwitplank_ready{",
+		"godwitplank_commit_seconds_count{",
+		"godwitplank_sync_seconds_sum{",
+		`le="0.005"} 1`,
+	} {
+		if !strings.Contains(text, line) {
+			t.Errorf("%s is missing in\n%s", line, text)
+		}
+	}
+}
+
+func TestZeroMeterCountsNothing(t *testing.T) {
+	for _, m := range []*Meter{nil, {}} {
+		m.Commit(time.Second)
+		m.Sync(time.Second)
+		m.Request("p", "served", "", time.Second)
+		is.New(t).True(m == nil || m.commit == nil)
+	}
+}
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -25,6 +25,9 @@
 
 const name = "godwitplank"
 
+// bounds of the histograms, in seconds: from a sync of a disk to the longest deadline.
+var bounds = []float64{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 15}
+
 // Meter counts what the VM does with requests. The zero value counts nothing.
 type Meter struct {
 	requests metric.Int64Counter
@@ -32,6 +35,9 @@
 	opened   metric.Int64Counter
 	latency  metric.Float64Histogram
 	hop      metric.Float64Histogram
+	commit   metric.Float64Histogram
+	sync     metric.Float64Histogram
+	meter    metric.Meter
 	handler  http.Handler
 }
 
@@ -43,25 +49,34 @@
 		return nil, err
 	}
 	m := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter)).Meter(name)
-	out := &Meter{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
-	out.requests, err = m.Int64Counter("godwitplank_requests", metric.WithDescription("Requests by pipeline, outcome and kind of refusal."))
-	if err != nil {
-		return nil, err
-	}
-	out.attempts, err = m.Int64Counter("godwitplank_stage_attempts", metric.WithDescription("Stage calls by pool, cause and result."))
-	if err != nil {
-		return nil, err
-	}
-	out.opened, err = m.Int64Counter("godwitplank_connections_opened", metric.WithDescription("New connections to endpoints."))
-	if err != nil {
-		return nil, err
+	out := &Meter{meter: m, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
+	for _, c := range []struct {
+		name, description string
+		counter           *metric.Int64Counter
+	}{
+		{"godwitplank_requests", "Requests by pipeline, outcome and kind of refusal.", &out.requests},
+		{"godwitplank_stage_attempts", "Stage calls by pool, cause and result.", &out.attempts},
+		{"godwitplank_connections_opened", "New connections to endpoints.", &out.opened},
+	} {
+		if *c.counter, err = m.Int64Counter(c.name, metric.WithDescription(c.description)); err != nil {
+			return nil, err
+		}
 	}
-	out.latency, err = m.Float64Histogram("godwitplank_request_seconds", metric.WithUnit("s"), metric.WithDescription("Time from a request's arrival to its answer."))
-	if err != nil {
-		return nil, err
+	for _, h := range []struct {
+		name, description string
+		histogram         *metric.Float64Histogram
+	}{
+		{"godwitplank_request_seconds", "Time from a request's arrival to its answer.", &out.latency},
+		{"godwitplank_stage_seconds", "Time of each stage call.", &out.hop},
+		{"godwitplank_commit_seconds", "Time until a proposed change was committed.", &out.commit},
+		{"godwitplank_sync_seconds", "Time to write and sync a batch of the replicated log.", &out.sync},
+	} {
+		*h.histogram, err = m.Float64Histogram(h.name, metric.WithUnit("s"), metric.WithDescription(h.description), metric.WithExplicitBucketBoundaries(bounds...))
+		if err != nil {
+			return nil, err
+		}
 	}
-	out.hop, err = m.Float64Histogram("godwitplank_stage_seconds", metric.WithUnit("s"), metric.WithDescription("Time of each stage call."))
-	return out, err
+	return out, nil
 }
 
 // Handler serves the figures.
@@ -88,6 +103,20 @@
 	m.hop.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("pool", pool), attribute.String("result", result)))
 }
 
+// Commit counts a change that was committed.
+func (m *Meter) Commit(took time.Duration) {
+	if m != nil && m.commit != nil {
+		m.commit.Record(context.Background(), took.Seconds())
+	}
+}
+
+// Sync counts a batch of the replicated log that was synced.
+func (m *Meter) Sync(took time.Duration) {
+	if m != nil && m.sync != nil {
+		m.sync.Record(context.Background(), took.Seconds())
+	}
+}
+
 // Connection counts a new connection to an endpoint.
 func (m *Meter) Connection() {
 	if m == nil || m.opened == nil {
