piece: put off late jobs whose inputs hold little memory

Jobs with inputs were never put off, so requests that could only be late went before those that could still be in time, and made them late in turn. Ruled out: slow calls (took_ms 241, predicted 232), a lost endpoint alone (4 of 5 were left and busy).

Change: a job is put off once it is late, unless its inputs take over 2 % of the memory of the endpoints that hold them. TestOrder (seen red).

--- a/gateway/stage.go
+++ b/gateway/stage.go
@@ -94,7 +94,7 @@
 	job := &piece.Job{
 		Service: s.Service, RequestID: x.ID, Stage: i, Pieces: x.Pieces[i], Inputs: inputs,
 		Due: x.due.Add(-g.remaining(x, i)), Deadline: x.deadline, Priority: x.priority,
-		DataCentre: g.place(x, plan, i), ResultBytes: s.Bytes,
+		DataCentre: g.place(x, plan, i), ResultBytes: s.Bytes, Holding: holding(x, s),
 	}
 	if len(s.After) == 0 {
 		job.Key = x.PieceKey
@@ -135,6 +135,24 @@
 // usualAnswer is about the time from the end of the stages to the first event of an engine that is not busy.
 const usualAnswer = 250 * time.Millisecond
 
+// holdingShare is the part of an endpoint's memory for results from which inputs count as holding it.
+const holdingShare = 0.02
+
+// holding reports whether the inputs of a stage take a noticeable part of the memory of the endpoints that made them.
+func holding(x *exchange, s *document.RouteStage) bool {
+	for _, before := range s.After {
+		made := &x.route.Stages[before]
+		service := x.view.Document.Service(made.Service)
+		if before >= len(x.Pieces) || service == nil || service.Batch == nil || service.Batch.ResultBytes == 0 {
+			continue
+		}
+		if float64(made.Bytes)*float64(x.Pieces[before]) > holdingShare*float64(service.Batch.ResultBytes) {
+			return true
+		}
+	}
+	return false
+}
+
 // remaining returns the described time from the end of a stage to the first byte of the answer.
 func (g *Gateway) remaining(x *exchange, i int) time.Duration {
 	longest := time.Duration(0)
--- a/piece/piece.go
+++ b/piece/piece.go
@@ -30,6 +30,9 @@
 	Here bool
 	// ResultBytes is the approximate size of one result.
 	ResultBytes int64
+	// Holding is true where the inputs take a noticeable part of other endpoints' memory for results, so that the job is
+	// not put off.
+	Holding bool
 }
 
 // Item is one piece in a call.
--- a/piece/queue.go
+++ b/piece/queue.go
@@ -85,10 +85,9 @@
 	return a.Due.Compare(b.Due)
 }
 
-// late reports whether the job can no longer be made before the objective of its request ends. One with inputs holds
-// memory of other endpoints and is not put off.
+// late reports whether the job can no longer be made before the objective of its request ends and may be put off.
 func (p *pending) late(now time.Time) bool {
-	return len(p.Inputs) == 0 && p.Due.Before(now.Add(p.predicted))
+	return !p.Holding && p.Due.Before(now.Add(p.predicted))
 }
 
 // spillShare is the part of the time to a job's objective that it waits for an endpoint of its own data centre.
--- a/piece/queue_test.go
+++ b/piece/queue_test.go
@@ -20,6 +20,12 @@
 	}, start, 100*time.Millisecond)
 }
 
+// later returns a job of a stage that takes results of another.
+func later(j *pending, holding bool) *pending {
+	j.Key, j.Inputs, j.Holding = "", []string{"h"}, holding
+	return j
+}
+
 func order(units []*unit) []string {
 	var out []string
 	for _, u := range units {
@@ -39,6 +45,8 @@
 		{"by objective", []*pending{job("b", 1, 0, 900), job("a", 1, 0, 800)}, []string{"a", "b"}},
 		{"by rank", []*pending{job("b", 1, 1, 800), job("a", 1, 0, 900)}, []string{"a", "b"}},
 		{"late ones last", []*pending{job("b", 1, 0, 50), job("a", 1, 1, 900)}, []string{"a", "b"}},
+		{"late ones last though they have inputs", []*pending{later(job("b", 1, 0, 50), false), job("a", 1, 1, 900)}, []string{"a", "b"}},
+		{"late ones that hold memory in their place", []*pending{job("a", 1, 1, 900), later(job("b", 1, 0, 50), true)}, []string{"b", "a"}},
 		{"begun ones first", []*pending{job("b", 1, 0, 800), {Job: job("a", 1, 2, 50).Job, begun: true}}, []string{"a", "b"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
