gateway: learn by how much stages and answers are late

Cause: in an overload jobs are made at the last moment that counts as in time.

Jobs that were put off are not learned from.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,7 @@
 	Log      event.Logger
 
 	inFlight atomic.Int64
+	delays   delays
 }
 
 // defaultBodyBytes bounds a body where the document does not.
@@ -65,6 +66,8 @@
 	priority  int
 	// stages is how long the stages took.
 	stages time.Duration
+	// staged is when they were done last.
+	staged time.Time
 	inputs []string
 	// inputBytes is the size of the inputs in each data centre.
 	inputBytes map[string]int64
--- a/gateway/stage.go
+++ b/gateway/stage.go
@@ -56,7 +56,8 @@
 		})
 	}
 	group.Wait()
-	x.stages += g.Clock.Now().Sub(begun)
+	x.staged = g.Clock.Now()
+	x.stages += x.staged.Sub(begun)
 	if err := context.Cause(ctx); err != nil {
 		g.freeAll(x, plan)
 		return err
@@ -102,6 +103,10 @@
 	begun := g.Clock.Now()
 	handles, err := g.Pieces.Run(ctx, job)
 	plan.handles[i] = handles
+	if ended := g.Clock.Now(); err == nil && (job.Holding || ended.Before(job.Due)) {
+		// A job that was put off tells nothing of those that are not.
+		g.delays.learn(s.Service, ended.Sub(begun)-g.described(x, i))
+	}
 	text := ""
 	if err != nil {
 		text = err.Error()
@@ -153,15 +158,23 @@
 	return false
 }
 
-// remaining returns the described time from the end of a stage to the first byte of the answer.
+// described returns the described time of a stage.
+func (g *Gateway) described(x *exchange, i int) time.Duration {
+	return piece.Predict(x.view.Document.Service(x.route.Stages[i].Service), x.Pieces[i])
+}
+
+// remaining returns the time from the end of a stage to the first byte of the answer: as described, and as it took lately.
 func (g *Gateway) remaining(x *exchange, i int) time.Duration {
 	longest := time.Duration(0)
 	for j, s := range x.route.Stages {
 		if slices.Contains(s.After, i) && j < len(x.Pieces) && x.Pieces[j] > 0 {
-			longest = max(longest, piece.Predict(x.view.Document.Service(s.Service), x.Pieces[j])+g.remaining(x, j)-usualAnswer)
+			longest = max(longest, g.described(x, j)+g.delays.of(s.Service)+g.remaining(x, j))
 		}
 	}
-	return longest + usualAnswer
+	if longest > 0 {
+		return longest
+	}
+	return usualAnswer + g.delays.of(x.route.Name)
 }
 
 // heavyBytes is the size from which results should not cross data centres.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -96,6 +96,9 @@
 		h[name] = values
 	}
 	x.first = g.Clock.Now()
+	if !x.staged.IsZero() && x.sends == 1 {
+		g.delays.learn(x.route.Name, x.first.Sub(x.staged)-usualAnswer)
+	}
 	x.status = r.StatusCode
 	x.w.WriteHeader(r.StatusCode)
 }
