--- a/gateway/delay_test.go
+++ b/gateway/delay_test.go
@@ -32,12 +32,13 @@
 // The objective of a stage leaves room for the stages after it, as they are described and as they took lately.
 func TestRemaining(t *testing.T) {
 	is := is.New(t)
-	batch := &document.Batch{Pieces: 8, CallMS: 100, PieceMS: 10}
+	d, err := document.ParseCanonical([]byte(`{"services":[
+		{"name":"a","batch":{"pieces":8,"call_ms":100,"piece_ms":10}},
+		{"name":"b","batch":{"pieces":8,"call_ms":100,"piece_ms":10}},
+		{"name":"c","batch":{"pieces":8,"call_ms":100,"piece_ms":10}}]}`))
+	is.NoErr(err)
 	x := &exchange{
-		Request: &Request{Pieces: []int{1, 2, 4}},
-		view: &control.View{Document: &document.Document{Services: []document.Service{
-			{Name: "a", Batch: batch}, {Name: "b", Batch: batch}, {Name: "c", Batch: batch},
-		}}},
+		Request: &Request{Pieces: []int{1, 2, 4}}, view: &control.View{Document: d},
 		route: &document.Route{Name: "r", Stages: []document.RouteStage{{Service: "a"}, {Service: "b", After: []int{0}}, {Service: "c", After: []int{1}}}},
 	}
 	g := &Gateway{}
