--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -131,6 +131,13 @@
 	}
 }
 
+// pid returns the number of the running process.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.command.Process.Pid
+}
+
 func (p *process) running() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -118,7 +118,8 @@
 	}
 }
 
-// Without faults every request is served, also while an endpoint leaves, a VM stops as planned and the configuration changes.
+// A calm half minute: every request is served, also while an endpoint leaves, settings are read again, VMs stop as planned
+// and the configuration changes.
 func TestCalm(t *testing.T) {
 	w := newWorld(t, 1, 2, 3)
 	w.traffic(6, func() {
@@ -129,7 +130,11 @@
 		s.mu.Unlock()
 		time.Sleep(2 * time.Second)
 		w.cluster.entries[1].signal(syscall.SIGHUP)
-		time.Sleep(3 * time.Second)
+		time.Sleep(4 * time.Second)
+		restart(t, w.cluster.entries[1], syscall.SIGTERM, time.Second)
+		time.Sleep(6 * time.Second)
+		restart(t, w.cluster.controls[0], syscall.SIGTERM, time.Second)
+		time.Sleep(10 * time.Second)
 	})
 	w.finish(t)
 	for kind, n := range w.outcomes.served {
