--- a/cmd/standin/fleet.go
+++ b/cmd/standin/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/gorilla/mux"
 
 	"godwitplank"
+	"godwitplank/timer"
 )
 
 // config describes the endpoints of one process.
@@ -80,7 +81,7 @@
 	f.journal = journal
 	f.random = rand.New(rand.NewPCG(f.Config.Seed, 1))
 	f.endpoints = make(map[string]*endpoint)
-	incarnation := uint64(time.Now().UnixMilli())
+	incarnation := uint64(timer.System.Now().UnixMilli())
 	for _, p := range f.Config.Pools {
 		for i := range p.Count {
 			if err := f.start(ctx, p, fmt.Sprintf("%s-%d", p.Prefix, i+1), incarnation); err != nil {
@@ -183,7 +184,7 @@
 
 // record appends a run to the journal in one write.
 func (f *fleet) record(id string, c godwitplank.StageCall) error {
-	line, err := json.Marshal(runLine{id, c.RequestID, c.Stage, c.Attempt, time.Now().UTC(), c.Input})
+	line, err := json.Marshal(runLine{id, c.RequestID, c.Stage, c.Attempt, timer.System.Now().UTC(), c.Input})
 	if err != nil {
 		return err
 	}
