control: exchange and publish only what changed; end a VM whose control failed

Cause: on 300 VMs each exchange carried the description of all VMs and a renewal of every endpoint, each housekeeping pass rebuilt and sorted the whole view, and each VM asked the leader for shares of limits that no document set.

The process stayed up without control. TestFatalErrorEndsRun did not return before.

A calls-only peer that becomes a full one hands over its connection instead of leaking it.

--- a/control/announce.go
+++ b/control/announce.go
@@ -61,15 +61,19 @@
 }
 
 // addEndpointChanges adds the endpoints that announced themselves to this VM to a reply, with the remaining time of
-// each lease: the full announcement of endpoints that changed after the revision since, a renewal for the others.
-func (c *Control) addEndpointChanges(now time.Time, since uint64, reply *link.ExchangeReply) {
-	reply.EndpointsRevision = c.endpoints.Revision()
-	for _, e := range c.endpoints.Entries() {
+// each lease: the full announcement of endpoints that changed after the revisions since, a renewal for those that only
+// announced themselves again.
+func (c *Control) addEndpointChanges(now time.Time, since syncRevisions, reply *link.ExchangeReply) {
+	reply.EndpointsRevision, reply.RenewalsRevision = c.endpoints.Revision(), c.endpoints.Renewals()
+	for e := range c.endpoints.All() {
+		if e.Revision <= since.endpoints && e.Renewal <= since.renewals {
+			continue
+		}
 		remaining := e.Expires.Sub(now)
 		if e.Source != endpoint.Direct || remaining < -leavingRelayPeriod || (remaining <= 0 && !e.Leaving) {
 			continue
 		}
-		if e.Revision <= since {
+		if e.Revision <= since.endpoints {
 			reply.Renewals = append(reply.Renewals, &link.Renewal{
 				EndpointId: e.EndpointID, Incarnation: e.Incarnation, Sequence: e.Sequence, LeaseLeftMs: remaining.Milliseconds(),
 				Running: int64(e.Load.Running), Queued: int64(e.Load.Queued),
--- a/control/capacity_test.go
+++ b/control/capacity_test.go
@@ -94,7 +94,7 @@
 			bytes := 0
 			b.ReportAllocs()
 			for b.Loop() {
-				reply := c.buildExchangeReply(&link.ExchangeRequest{Sender: sender, ReceiverIncarnation: c.Incarnation, EndpointsSince: since, OthersSince: since})
+				reply := c.buildExchangeReply(&link.ExchangeRequest{Sender: sender, ReceiverIncarnation: c.Incarnation, EndpointsSince: since, RenewalsSince: since, OthersSince: since})
 				data, err := proto.Marshal(reply)
 				if err != nil {
 					b.Fatal(err)
@@ -112,7 +112,7 @@
 		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
 			from, to := newPopulatedControl(b, n, 0), newPopulatedControl(b, 0, 0)
 			reply := &link.ExchangeReply{}
-			from.addEndpointChanges(from.Clock.Now(), 0, reply)
+			from.addEndpointChanges(from.Clock.Now(), syncRevisions{}, reply)
 			b.ReportAllocs()
 			for b.Loop() {
 				to.endpoints = endpoint.Table{}
--- a/control/connection.go
+++ b/control/connection.go
@@ -7,15 +7,21 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	"godwitplank/event"
 	"godwitplank/link"
 	"godwitplank/raft"
 	"godwitplank/telemetry"
+	"godwitplank/timer"
 )
 
+// reconnectPause is the time before a call is repeated on a new connection.
+const reconnectPause = 20 * time.Millisecond
+
 // deliverLoop sends Raft messages, the queued ones batched into one call.
 func (c *Control) deliverLoop(ctx context.Context, p *peer) {
 	for {
@@ -66,6 +72,20 @@
 	return link.NewLinkClient(p.conn)
 }
 
+// callWithReconnect sends a call that may be repeated. It repeats the call if another goroutine replaced the connection
+// while the call was in progress.
+func callWithReconnect[T any](ctx context.Context, p *peer, call func(client link.LinkClient) (T, error)) (T, error) {
+	for {
+		reply, err := call(p.client())
+		if status.Code(err) != codes.Canceled || ctx.Err() != nil {
+			return reply, err
+		}
+		if err := timer.Wait(ctx, reconnectPause); err != nil {
+			return reply, err
+		}
+	}
+}
+
 func dial(addr netip.AddrPort) *grpc.ClientConn {
 	conn, err := grpc.NewClient("passthrough:///"+addr.String(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
@@ -102,6 +122,15 @@
 	return true
 }
 
+// handOverConn returns the connection and removes it from the peer, since calls on it may be in progress.
+func (p *peer) handOverConn() *grpc.ClientConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conn := p.conn
+	p.conn = nil
+	return conn
+}
+
 func (p *peer) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/control/control.go
+++ b/control/control.go
@@ -31,6 +31,13 @@
 const (
 	raftTickInterval     = 50 * time.Millisecond
 	housekeepingInterval = 100 * time.Millisecond
+	// pruneInterval is how often state that is no longer needed is removed.
+	pruneInterval = time.Second
+	// viewRefreshInterval is how often the view is published without a change, for what depends on the time only.
+	viewRefreshInterval = 500 * time.Millisecond
+	// minPublishInterval is the minimum time between two views, except for a new document or the begin of a stop: many
+	// endpoints and VMs that change at the same time share a view.
+	minPublishInterval = 50 * time.Millisecond
 )
 
 // Control holds the control state of one VM. Set the exported fields, call Init, then Run.
@@ -84,6 +91,9 @@
 	start              time.Time
 	stopping           bool
 	viewStale          bool
+	viewUrgent         bool // publish without waiting for minPublishInterval
+	publishedAt        time.Time
+	entryVMs           entryVMs
 	document           *document.Document
 	storedDocument     *state.DocumentChange
 	activeSince        time.Time
@@ -91,6 +101,7 @@
 	stats              map[statsKey]*route.Stats
 	vms                vm.Table
 	lastExpiry         time.Time
+	prunedAt           time.Time
 	peers              map[netip.AddrPort]*peer
 	knownGroup         *link.Group // newest state of the group that was received or, on the leader, built
 	replica            *replica
@@ -137,13 +148,13 @@
 // Run runs the control loop until ctx ends or a fatal error occurs, such as a failed disk write, which it returns.
 func (c *Control) Run(ctx context.Context) error {
 	ctx, c.cancel = context.WithCancel(ctx)
-	defer c.cancel()
 	c.runCtx = ctx
 	for _, addr := range c.Join {
 		c.addPeer(ctx, addr, true)
 	}
 	c.wg.Go(func() { c.shareLoop(ctx) })
 	c.loop(ctx)
+	c.cancel() // the loop may have ended by a fatal error; the goroutines of the peers run until ctx ends
 	close(c.done)
 	c.wg.Wait()
 	if c.mergeLocalSpend(); c.Folder != nil {
@@ -156,7 +167,10 @@
 }
 
 func (c *Control) loop(ctx context.Context) {
-	ticks := timer.Subscribe(ctx, raftTickInterval)
+	var ticks <-chan time.Time
+	if c.Folder != nil {
+		ticks = timer.Subscribe(ctx, raftTickInterval)
+	}
 	housekeepingTicks := timer.Subscribe(ctx, housekeepingInterval)
 	for c.fatalErr == nil {
 		select {
@@ -171,7 +185,7 @@
 			c.housekeep(ctx)
 		}
 		c.flushReplica()
-		if c.viewStale {
+		if c.publishDue() {
 			c.publish()
 		}
 	}
@@ -216,17 +230,20 @@
 		c.viewStale = true
 	}
 	c.lastExpiry = now
-	c.vms.Prune(now)
 	c.holdLiveness(now)
 	for _, name := range c.vms.DetectLost(now) {
 		c.Log.Log(event.VMLost, "peer", name, "data_centre", c.vms.Find(name).DataCentre)
 	}
-	c.pruneStats()
+	if now.Sub(c.prunedAt) >= pruneInterval {
+		c.prunedAt = now
+		c.vms.Prune(now)
+		c.pruneStats()
+	}
 	c.updatePeers(ctx)
 	c.repair(now)
 	c.discardLostGroup()
 	c.updateSpend(now)
-	c.viewStale = true
+	c.viewStale = c.viewStale || now.Sub(c.publishedAt) >= viewRefreshInterval
 }
 
 // endpointRetention is how long an endpoint is kept after the end of its lease, so that late announcements of it are
@@ -275,7 +292,7 @@
 	c.document = parsed
 	c.storedDocument = proto.CloneOf(d)
 	c.activeSince = c.Clock.Now()
-	c.viewStale = true
+	c.viewStale, c.viewUrgent = true, true
 	c.Log.Log(event.DocumentActivated, "document_version", d.Version, "digest", d.Digest)
 }
 
@@ -283,7 +300,7 @@
 func (c *Control) BeginStop(ctx context.Context) error {
 	return c.do(ctx, func() {
 		c.stopping = true
-		c.viewStale = true
+		c.viewStale, c.viewUrgent = true, true
 		c.transferLeadership()
 	})
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -59,7 +59,7 @@
 	sentAt := from.Clock.Now()
 	reply := to.buildExchangeReply(&link.ExchangeRequest{
 		Sender: from.describeSelf(), ReceiverIncarnation: p.synced.incarnation,
-		SpendSince: p.synced.spend, EndpointsSince: p.synced.endpoints, OthersSince: p.synced.others,
+		SpendSince: p.synced.spend, EndpointsSince: p.synced.endpoints, RenewalsSince: p.synced.renewals, OthersSince: p.synced.others,
 	})
 	from.handleExchangeReply(p, sentAt, reply)
 	return reply
@@ -90,8 +90,10 @@
 	runExchange(a, b, p)
 	is.True(a.endpoints.Find("e-1").Leaving)
 
-	a.endpoints = endpoint.Table{} // the requesting VM lost the endpoint
-	runExchange(a, b, p)
+	a.endpoints = endpoint.Table{} // the requesting VM lost the endpoint, and learns it from the next renewal
+	is.Equal(len(runExchange(a, b, p).Renewals), 0)
+	announce(b, 5, false)
+	is.Equal(len(runExchange(a, b, p).Renewals), 1)
 	is.Equal(a.endpoints.Find("e-1"), nil)
 	is.Equal(len(runExchange(a, b, p).Endpoints), 1)
 	is.True(a.endpoints.Find("e-1").Leaving)
--- a/control/group.go
+++ b/control/group.go
@@ -111,7 +111,7 @@
 		if p == nil {
 			return nil, fault.New(fault.GroupUnreachable, "VM %s is not known to this VM; start it, or check --join", name)
 		}
-		reply, err = p.client().FormGroup(ctx, r)
+		reply, err = callWithReconnect(ctx, p, func(client link.LinkClient) (*link.FormGroupReply, error) { return client.FormGroup(ctx, r) })
 	}
 	if err != nil {
 		return nil, fault.New(fault.GroupUnreachable, "VM %s does not respond (%v); start it and send the same command again", name, err)
--- a/control/hub.go
+++ b/control/hub.go
@@ -12,15 +12,16 @@
 	return !c.HubsOnly || v.ReplicaID != ""
 }
 
-// recordAlive records which VMs the peer reports as alive.
-func (p *peer) recordAlive(others []*link.VM) {
-	if len(others) == 0 {
-		return
+// recordAlive records which VMs the peer reports as alive: all of them if complete is true, else those that changed.
+func (p *peer) recordAlive(others []*link.VM, complete bool) {
+	if complete || p.aliveVMs == nil {
+		p.aliveVMs = make(map[string]bool, len(others))
 	}
-	p.aliveVMs = p.aliveVMs[:0]
 	for _, v := range others {
 		if time.Duration(v.AgeMs)*time.Millisecond < vm.AliveTimeout {
-			p.aliveVMs = append(p.aliveVMs, v.Name)
+			p.aliveVMs[v.Name] = true
+		} else {
+			delete(p.aliveVMs, v.Name)
 		}
 	}
 }
@@ -30,7 +31,7 @@
 	if !c.HubsOnly {
 		return
 	}
-	for _, name := range p.aliveVMs {
+	for name := range p.aliveVMs {
 		if v := c.vms.Find(name); v != nil && !c.exchangesWith(v) {
 			c.vms.MarkAlive(now, name)
 		}
--- a/control/hub_test.go
+++ b/control/hub_test.go
@@ -54,8 +54,8 @@
 }
 
 func entryNames(c *Control, now time.Time) []string {
-	names, _ := c.entryVMs(now)
-	return names
+	c.entryVMs.update(c, now)
+	return c.entryVMs.names
 }
 
 // The VMs with the most capacity dispatch pieces; if no capacity is known, all do.
@@ -63,18 +63,19 @@
 	is := is.New(t)
 	c := newControl(t, "vm-a", 1)
 	now := c.Clock.Now()
-	_, dispatchers := c.entryVMs(now)
-	is.Equal(len(dispatchers), 0) // this VM accepts no callers' requests
+	dispatchers := func() []string {
+		c.entryVMs.update(c, now)
+		return c.entryVMs.dispatchers
+	}
+	is.Equal(len(dispatchers()), 0) // this VM accepts no callers' requests
 	addr := netip.MustParseAddrPort("10.0.0.9:1")
 	for name, capacity := range map[string]float64{"vm-b": 0.144, "vm-c": 0.48, "vm-d": 0.4} {
 		c.vms.Merge(now, vm.Entry{Name: name, CallersAddr: addr, Capacity: capacity, LastSeen: now})
 	}
-	_, dispatchers = c.entryVMs(now)
-	is.Equal(dispatchers, []string{"vm-c", "vm-d"})
-	c.vms = vm.Table{}
+	is.Equal(dispatchers(), []string{"vm-c", "vm-d"})
+	c.vms, c.entryVMs = vm.Table{}, entryVMs{}
 	for _, name := range []string{"vm-b", "vm-c"} {
 		c.vms.Merge(now, vm.Entry{Name: name, CallersAddr: addr, LastSeen: now})
 	}
-	_, dispatchers = c.entryVMs(now)
-	is.Equal(dispatchers, []string{"vm-b", "vm-c"})
+	is.Equal(dispatchers(), []string{"vm-b", "vm-c"})
 }
--- a/control/peer.go
+++ b/control/peer.go
@@ -12,11 +12,17 @@
 	"godwitplank/link"
 	"godwitplank/raft"
 	"godwitplank/timer"
+	"godwitplank/vm"
 )
 
 // Timing and sizes of the connections between VMs.
 const (
 	exchangeInterval = 500 * time.Millisecond
+	// A VM without a data folder in a system of many VMs exchanges state with the hubs of other data centres less often:
+	// every distantIntervalPerVM for each known VM, at most every maxDistantInterval. The maximum is half of the time
+	// after which a VM counts as lost.
+	distantIntervalPerVM = 4 * time.Millisecond
+	maxDistantInterval   = vm.AliveTimeout / 2
 	// Within startupPeriod after its start a VM exchanges state more often, to learn of all endpoints quickly.
 	startupExchangeInterval = 150 * time.Millisecond
 	startupPeriod           = 4 * time.Second
@@ -41,7 +47,7 @@
 // syncRevisions holds the revisions up to which another VM's state was received. They are valid for one incarnation of
 // that VM.
 type syncRevisions struct {
-	incarnation, spend, endpoints, others uint64
+	incarnation, spend, endpoints, renewals, others uint64
 }
 
 // fullListInterval is the time between two requests for a peer's full list of VMs. It refreshes VMs that are known only
@@ -60,7 +66,7 @@
 	replied    bool
 	isSelf     bool
 	// aliveVMs names the VMs that the peer last reported as alive.
-	aliveVMs []string
+	aliveVMs map[string]bool
 	// callsOnly peers are used for single calls, without state exchange or Raft messages.
 	callsOnly bool
 	// sentSpendRevision is the revision up to which this VM's own spend counters were sent to the peer.
@@ -85,6 +91,9 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	p := &peer{addr: addr, joined: joined, cancel: cancel, outbox: make(chan *raft.Message, outboxCapacity)}
+	if old := c.peers[addr]; old != nil {
+		p.conn = old.handOverConn()
+	}
 	c.peers[addr] = p
 	c.wg.Go(func() { c.exchangeLoop(ctx, p) })
 	c.wg.Go(func() { c.deliverLoop(ctx, p) })
@@ -92,8 +101,8 @@
 
 // updatePeers connects to known VMs that no joined address leads to, and removes the peers of VMs that are gone.
 func (c *Control) updatePeers(ctx context.Context) {
-	for _, v := range c.vms.Entries() {
-		if c.Discover && v.Name != c.Name && v.LinkAddr.IsValid() && c.exchangesWith(&v) && c.exchangePeer(v.Name) == nil && c.joinedPeersIdentified() {
+	for _, v := range c.vms.Sorted() {
+		if c.Discover && c.exchangesWith(v) && v.Name != c.Name && v.LinkAddr.IsValid() && c.exchangePeer(v.Name) == nil && c.joinedPeersIdentified() {
 			c.addPeer(ctx, v.LinkAddr, false)
 		}
 	}
@@ -127,7 +136,7 @@
 // obsolete reports whether a discovered peer is no longer needed: its address belongs to no known VM, or its VM is
 // reached through another peer.
 func (c *Control) obsolete(p *peer) bool {
-	for _, v := range c.vms.Entries() {
+	for _, v := range c.vms.Sorted() {
 		if v.LinkAddr == p.addr && v.Name != c.Name {
 			return c.peerFor(v.Name) != p
 		}
@@ -176,11 +185,7 @@
 func (c *Control) exchangeLoop(ctx context.Context, p *peer) {
 	for {
 		started := c.Clock.Now()
-		c.exchange(ctx, p)
-		pause := exchangeInterval
-		if started.Sub(c.start) < startupPeriod {
-			pause = startupExchangeInterval
-		}
+		pause := c.exchange(ctx, p)
 		if timer.Wait(ctx, pause-c.Clock.Now().Sub(started)) != nil {
 			p.close()
 			return
@@ -188,8 +193,31 @@
 	}
 }
 
-// exchange requests the state changes of a VM and merges them. It fetches the VM's document if that is newer.
-func (c *Control) exchange(ctx context.Context, p *peer) {
+// pauseBetweenExchanges returns the time between the starts of two exchanges with a peer.
+func (c *Control) pauseBetweenExchanges(now time.Time, p *peer) time.Duration {
+	starting := now.Sub(c.start) < startupPeriod
+	if c.HubsOnly && c.Folder == nil && !c.nearPeer(p) {
+		if starting {
+			return exchangeInterval
+		}
+		return min(max(exchangeInterval, time.Duration(c.vms.Count())*distantIntervalPerVM), maxDistantInterval)
+	}
+	if starting {
+		return startupExchangeInterval
+	}
+	return exchangeInterval
+}
+
+// nearPeer reports whether the VM of a peer is in this VM's data centre.
+func (c *Control) nearPeer(p *peer) bool {
+	v := c.vms.Find(p.name)
+	return v != nil && v.DataCentre == c.DataCentre
+}
+
+// exchange requests the state changes of a VM and merges them. It fetches the VM's document if that is newer. It returns
+// the time from the start of this exchange to the next one.
+func (c *Control) exchange(ctx context.Context, p *peer) time.Duration {
+	pause := exchangeInterval
 	var request *link.ExchangeRequest
 	var sentRevision uint64
 	if c.do(ctx, func() {
@@ -199,11 +227,11 @@
 		}
 		request = &link.ExchangeRequest{
 			Sender: c.describeSelf(), ReceiverIncarnation: p.synced.incarnation,
-			SpendSince: p.synced.spend, EndpointsSince: p.synced.endpoints, OthersSince: p.synced.others,
+			SpendSince: p.synced.spend, EndpointsSince: p.synced.endpoints, RenewalsSince: p.synced.renewals, OthersSince: p.synced.others,
 		}
 		request.Spend, sentRevision = c.localSpendSince(p.sentSpendRevision)
 	}) != nil {
-		return
+		return pause
 	}
 	sentAt := c.Clock.Now()
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
@@ -213,10 +241,11 @@
 		c.Log.Log(event.ConnectionReset, "peer", p.addr.String())
 	}
 	if err != nil {
-		return
+		return pause
 	}
 	newer := false
 	err = c.do(ctx, func() {
+		pause = c.pauseBetweenExchanges(sentAt, p)
 		c.handleExchangeReply(p, sentAt, reply)
 		p.sentSpendRevision = sentRevision
 		newer = reply.Sender.GetDocumentVersion() > c.storedDocument.GetVersion()
@@ -224,6 +253,7 @@
 	if err == nil && newer {
 		c.fetchDocument(callCtx, p)
 	}
+	return pause
 }
 
 func (c *Control) fetchDocument(ctx context.Context, p *peer) {
@@ -253,12 +283,12 @@
 			c.Incarnation = v.Incarnation + 1
 		}
 	}
-	p.recordAlive(r.Others)
+	p.recordAlive(r.Others, p.synced.others == 0 || p.synced.incarnation != r.Sender.GetIncarnation())
 	c.markReportedAlive(now, p)
 	c.mergeRelayedEndpoints(sentAt, r.Endpoints)
 	c.updateKnownGroup(r.Group)
 	c.mergeSpend(r.Spend)
-	p.synced = syncRevisions{r.Sender.GetIncarnation(), r.SpendRevision, r.EndpointsRevision, r.OthersRevision}
+	p.synced = syncRevisions{r.Sender.GetIncarnation(), r.SpendRevision, r.EndpointsRevision, r.RenewalsRevision, r.OthersRevision}
 	if !c.applyRenewals(sentAt, r.Renewals) {
 		p.synced.endpoints = 0
 	}
--- a/control/repair.go
+++ b/control/repair.go
@@ -59,20 +59,20 @@
 
 // spareVMs returns the alive VMs that have a data folder and are not stopping, those in the data centres with the
 // fewest replicas first.
-func (c *Control) spareVMs(now time.Time, m *raft.Membership) []vm.Entry {
+func (c *Control) spareVMs(now time.Time, m *raft.Membership) []*vm.Entry {
 	members := make(map[string]int)
 	for _, r := range m.GetReplicas() {
 		if v := c.vms.Find(r.Vm); v != nil {
 			members[v.DataCentre]++
 		}
 	}
-	var spares []vm.Entry
-	for _, v := range c.vms.Entries() {
+	var spares []*vm.Entry
+	for _, v := range c.vms.Sorted() {
 		if v.ReplicaID != "" && !v.Stopping && v.Alive(now) {
 			spares = append(spares, v)
 		}
 	}
-	slices.SortStableFunc(spares, func(a, b vm.Entry) int { return cmp.Compare(members[a.DataCentre], members[b.DataCentre]) })
+	slices.SortStableFunc(spares, func(a, b *vm.Entry) int { return cmp.Compare(members[a.DataCentre], members[b.DataCentre]) })
 	return spares
 }
 
--- a/control/replica.go
+++ b/control/replica.go
@@ -199,7 +199,7 @@
 			}
 		}
 	}
-	for _, v := range c.vms.Entries() {
+	for _, v := range c.vms.Sorted() {
 		if v.ReplicaID == id {
 			return v.Name
 		}
--- a/control/server.go
+++ b/control/server.go
@@ -34,15 +34,15 @@
 		c.recordVM(now, r.Sender, now)
 	}
 	c.mergeSpend(r.Spend)
-	since := syncRevisions{c.Incarnation, r.SpendSince, r.EndpointsSince, r.OthersSince}
+	since := syncRevisions{c.Incarnation, r.SpendSince, r.EndpointsSince, r.RenewalsSince, r.OthersSince}
 	if r.ReceiverIncarnation != c.Incarnation {
 		since = syncRevisions{}
 	}
 	reply := &link.ExchangeReply{Sender: c.describeSelf(), OthersRevision: c.vms.Revision()}
 	if since.others < reply.OthersRevision {
-		reply.Others = c.describeOthers(now)
+		reply.Others = c.describeOthers(now, since.others)
 	}
-	c.addEndpointChanges(now, since.endpoints, reply)
+	c.addEndpointChanges(now, since, reply)
 	c.addSpendChanges(since.spend, reply)
 	reply.Group = withoutPositions(c.currentGroup())
 	return reply
@@ -99,16 +99,23 @@
 	return v
 }
 
-// describeOthers returns the descriptions of all other known VMs. Their ages are at least 1 ms, since 0 marks a VM's
-// description of itself.
-func (c *Control) describeOthers(now time.Time) []*link.VM {
+// describeOthers returns the descriptions of the other VMs that changed after the revision since. Their ages are at least
+// 1 ms, since 0 marks a VM's description of itself, and at least vm.AliveTimeout for VMs that this VM sees as lost.
+func (c *Control) describeOthers(now time.Time, since uint64) []*link.VM {
 	var out []*link.VM
-	for _, e := range c.vms.Entries() {
+	for _, e := range c.vms.Sorted() {
+		if e.Revision <= since {
+			continue
+		}
+		age := max(time.Millisecond, now.Sub(e.LastReported))
+		if !e.Alive(now) {
+			age = max(age, vm.AliveTimeout)
+		}
 		out = append(out, &link.VM{
 			Name: e.Name, Incarnation: e.Incarnation, DataCentre: e.DataCentre, LinkAddr: e.LinkAddr.String(),
 			OperatorsAddr: e.OperatorsAddr.String(), CallersAddr: e.CallersAddr.String(), ReplicaId: e.ReplicaID,
 			DocumentVersion: e.DocumentVersion, Stopping: e.Stopping, Capacity: e.Capacity,
-			AgeMs: max(1, now.Sub(e.LastReported).Milliseconds()),
+			AgeMs: age.Milliseconds(),
 		})
 	}
 	return out
--- a/control/share.go
+++ b/control/share.go
@@ -36,6 +36,9 @@
 	var p *peer
 	var leader string
 	err := c.do(ctx, func() {
+		if c.document == nil || len(c.document.Pipelines) == 0 {
+			return // only requests to pipelines are limited
+		}
 		c.Limiter.SetVMs(len(c.shareHolders()))
 		leader = c.guessLeader("")
 		p = c.peerFor(leader)
@@ -118,7 +121,7 @@
 func (c *Control) shareHolders() []string {
 	now := c.Clock.Now()
 	names := []string{c.Name}
-	for _, v := range c.vms.Entries() {
+	for _, v := range c.vms.Sorted() {
 		if v.Name != c.Name && (v.Alive(now) || !v.Stopping) {
 			names = append(names, v.Name)
 		}
--- a/control/view.go
+++ b/control/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"godwitplank/document"
@@ -80,6 +79,11 @@
 	return c.view.Load()
 }
 
+// publishDue reports whether a stale view must be replaced now.
+func (c *Control) publishDue() bool {
+	return c.viewStale && (c.viewUrgent || c.Clock.Now().Sub(c.publishedAt) >= minPublishInterval)
+}
+
 // publish builds a new view from the control state and makes it the latest one.
 func (c *Control) publish() {
 	now := c.Clock.Now()
@@ -88,7 +92,8 @@
 		Pools: make(map[string][]route.Candidate), VMs: c.vms.Entries(), Group: c.currentGroup(),
 		Stopping: c.stopping, PublishedAt: now, aliveVMs: 1 + c.vms.CountAlive(now),
 	}
-	v.EntryVMs, v.DispatcherVMs = c.entryVMs(now)
+	c.entryVMs.update(c, now)
+	v.EntryVMs, v.DispatcherVMs = c.entryVMs.names, c.entryVMs.dispatchers
 	v.Spend = c.spendCounters.Totals()
 	if c.replica != nil {
 		status := c.replica.core.Status()
@@ -98,14 +103,13 @@
 	if begin, ok := c.plannedStopBegin("", c.Name); ok && c.Incarnation < uint64(begin.UnixNano()) {
 		v.StopAt = begin
 	}
-	for _, e := range c.endpoints.Entries() {
+	entries := c.endpoints.Entries()
+	v.Endpoints = make([]EndpointStatus, 0, len(entries))
+	for _, e := range entries {
 		c.publishEndpoint(v, e)
 	}
-	for pool := range v.Pools {
-		slices.SortFunc(v.Pools[pool], func(a, b route.Candidate) int { return strings.Compare(a.ID, b.ID) })
-	}
 	c.view.Store(v)
-	c.viewStale = false
+	c.viewStale, c.viewUrgent, c.publishedAt = false, false, now
 }
 
 // publishEndpoint adds an endpoint's status to a view, and the endpoint to its pool if it is routable.
@@ -139,29 +143,40 @@
 // other VMs.
 const dispatcherCapacityRatio = 0.8
 
-// entryVMs returns the alive VMs that accept callers' requests, and those of them that dispatch pieces for other VMs.
-func (c *Control) entryVMs(now time.Time) (names, dispatchers []string) {
+// entryVMs holds the alive VMs that accept callers' requests, and those of them that dispatch pieces for other VMs, at
+// a revision of the VM table.
+type entryVMs struct {
+	names, dispatchers []string
+	revision           uint64
+	stopping           bool // whether this VM was stopping
+}
+
+// update determines the VMs again if the table has changed. Earlier slices are not modified, since views refer to them.
+func (l *entryVMs) update(c *Control, now time.Time) {
+	if l.names != nil && l.revision == c.vms.Revision() && l.stopping == c.stopping {
+		return
+	}
+	*l = entryVMs{names: []string{}, revision: c.vms.Revision(), stopping: c.stopping}
 	capacities := make(map[string]float64)
 	if c.CallersAddr.IsValid() && !c.stopping {
 		capacities[c.Name] = c.Capacity
 	}
-	for _, v := range c.vms.Entries() {
+	for _, v := range c.vms.Sorted() {
 		if v.Name != c.Name && v.CallersAddr.IsValid() && v.Alive(now) && !v.Stopping {
 			capacities[v.Name] = v.Capacity
 		}
 	}
 	largest := 0.0
 	for name, capacity := range capacities {
-		names = append(names, name)
+		l.names = append(l.names, name)
 		largest = max(largest, capacity)
 	}
-	slices.Sort(names)
-	for _, name := range names {
+	slices.Sort(l.names)
+	for _, name := range l.names {
 		if capacities[name] >= dispatcherCapacityRatio*largest {
-			dispatchers = append(dispatchers, name)
+			l.dispatchers = append(l.dispatchers, name)
 		}
 	}
-	return names, dispatchers
 }
 
 // plannedStopBegin returns when an endpoint or a VM must stop accepting new work before its planned stop, so that
@@ -193,7 +208,7 @@
 		return
 	}
 	live := make(map[statsKey]bool, len(c.stats))
-	for _, e := range c.endpoints.Entries() {
+	for e := range c.endpoints.All() {
 		live[statsKey{e.EndpointID, e.Incarnation}] = true
 	}
 	for k := range c.stats {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -38,6 +38,8 @@
 	// viewPollInterval is how often the control view is checked for readiness and for a planned stop.
 	viewPollInterval  = 100 * time.Millisecond
 	readHeaderTimeout = 10 * time.Second
+	// linkBufferBytes is the size of the read buffer of a connection from another VM; a control VM has one for each.
+	linkBufferBytes = 4 << 10
 )
 
 // Addresses is the content of the addresses file: the bound addresses after port 0 was resolved.
@@ -60,6 +62,7 @@
 	output          *event.Queue
 	meter           *telemetry.Meter
 	optionalServers []*http.Server
+	notice          stopNotice
 	control         *control.Control
 	routes          *routeServer
 	entry           *entry.Server
@@ -96,6 +99,9 @@
 		return err
 	}
 	d.log.Log(event.Started, "callers_addr", bound.CallersAddr, "operators_addr", bound.OperatorsAddr, "link_addr", bound.LinkAddr, "incarnation", incarnation)
+	for _, warning := range s.Warnings {
+		d.log.Log(event.SettingClamped, "reason", warning)
+	}
 	return d.serve(ctx, listeners, bound)
 }
 
@@ -158,9 +164,9 @@
 		Name: s.VM, DataCentre: s.DataCentre, OperatorsAddr: bound.OperatorsAddr, CallersAddr: bound.CallersAddr,
 		Views: d.control, Operations: d.control, Metrics: meter.Handler(), Token: s.OperatorToken, Log: d.log,
 	}
-	d.callers = &http.Server{Handler: d.entry.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	d.callers = &http.Server{Handler: d.notice.wrap(d.entry.Handler()), ReadHeaderTimeout: readHeaderTimeout}
 	d.operators = &http.Server{Handler: operators.Handler(), ReadHeaderTimeout: readHeaderTimeout}
-	d.link = grpc.NewServer(grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: control.MinKeepaliveInterval, PermitWithoutStream: true}), grpc.StatsHandler(telemetry.ServerTracing()), grpc.MaxRecvMsgSize(control.MaxMessageBytes), grpc.MaxSendMsgSize(control.MaxMessageBytes))
+	d.link = grpc.NewServer(grpc.ReadBufferSize(linkBufferBytes), grpc.SharedWriteBuffer(true), grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: control.MinKeepaliveInterval, PermitWithoutStream: true}), grpc.StatsHandler(telemetry.ServerTracing()), grpc.MaxRecvMsgSize(control.MaxMessageBytes), grpc.MaxSendMsgSize(control.MaxMessageBytes))
 	link.RegisterLinkServer(d.link, d.control)
 	return nil
 }
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -2,6 +2,8 @@
 package endpoint
 
 import (
+	"iter"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -26,13 +28,13 @@
 	godwitplank.Announcement
 	TokenSHA256 string
 	Addr        netip.AddrPort
-	// RenewedAt is when the lease was last renewed: Expires minus godwitplank.LeaseDuration, by this VM's clock.
-	RenewedAt time.Time
 	// Expires is the end of the lease, by this VM's clock.
 	Expires time.Time
 	Source  Source
-	// Revision is the table's revision at the endpoint's last change that affects routing.
+	// Revision is the table's revision at the endpoint's last change that affects routing, Renewal its count of renewals
+	// at the last announcement.
 	Revision uint64
+	Renewal  uint64
 	// OfService is true for an endpoint of a service. Unlike pools, services admit every endpoint.
 	OfService bool
 	// ConflictWith is the address of another machine that announces the same id, or the other id that is announced at the
@@ -63,6 +65,9 @@
 	entries   map[string]*Entry
 	idsByAddr map[netip.AddrPort]string
 	revision  uint64
+	renewals  uint64
+	// sorted holds the entries by id; nil after a change.
+	sorted []*Entry
 }
 
 // Announce merges an announcement whose lease has the given remaining time.
@@ -91,11 +96,14 @@
 		}
 		update.Leaving = update.Leaving || (update.Incarnation == current.Incarnation && current.Leaving)
 		update.ConflictWith, update.ConflictUntil = current.ConflictWith, current.ConflictUntil
-		delete(t.idsByAddr, current.Addr)
+		if current.Addr != update.Addr {
+			delete(t.idsByAddr, current.Addr)
+		}
 	}
 	update.Expires = now.Add(remaining)
-	update.RenewedAt = update.Expires.Add(-godwitplank.LeaseDuration)
-	t.entries[update.EndpointID] = &update
+	t.renewals++
+	update.Renewal = t.renewals
+	t.put(&update)
 	t.idsByAddr[update.Addr] = update.EndpointID
 	if current != nil && now.Before(current.Expires) && sameRouting(current, &update) {
 		update.Revision = current.Revision
@@ -120,10 +128,16 @@
 	marked.Source = Direct
 	t.revision++
 	marked.Revision = t.revision
-	t.entries[id] = &marked
+	t.put(&marked)
 	return true, true
 }
 
+// put stores an entry. Entries are replaced and never changed, since published views refer to them.
+func (t *Table) put(e *Entry) {
+	t.entries[e.EndpointID] = e
+	t.sorted = nil
+}
+
 // fromOtherMachine reports whether update comes from a second machine with the same id while the lease of current is
 // valid. A newer incarnation is a restart; an older one that still announces itself is a second machine.
 func fromOtherMachine(now time.Time, current, update *Entry) bool {
@@ -151,7 +165,7 @@
 	marked := *holder
 	marked.ConflictWith = conflictWith
 	marked.ConflictUntil = now.Add(godwitplank.LeaseDuration)
-	t.entries[holder.EndpointID] = &marked
+	t.put(&marked)
 	return Conflict
 }
 
@@ -167,6 +181,11 @@
 	return t.revision
 }
 
+// Renewals returns the number of announcements that the table accepted.
+func (t *Table) Renewals() uint64 {
+	return t.renewals
+}
+
 // Find returns an endpoint by id, or nil. The caller must not modify the entry.
 func (t *Table) Find(id string) *Entry {
 	return t.entries[id]
@@ -182,6 +201,7 @@
 		}
 		if now.Sub(e.Expires) > retention {
 			delete(t.entries, id)
+			t.sorted = nil
 			if t.idsByAddr[e.Addr] == id {
 				delete(t.idsByAddr, e.Addr)
 			}
@@ -192,10 +212,13 @@
 
 // Entries returns all entries, sorted by id. The caller must not modify them.
 func (t *Table) Entries() []*Entry {
-	out := make([]*Entry, 0, len(t.entries))
-	for _, e := range t.entries {
-		out = append(out, e)
+	if t.sorted == nil {
+		t.sorted = slices.SortedFunc(maps.Values(t.entries), func(a, b *Entry) int { return strings.Compare(a.EndpointID, b.EndpointID) })
 	}
-	slices.SortFunc(out, func(a, b *Entry) int { return strings.Compare(a.EndpointID, b.EndpointID) })
-	return out
+	return t.sorted
+}
+
+// All returns the entries in no particular order. The caller must not modify them.
+func (t *Table) All() iter.Seq[*Entry] {
+	return maps.Values(t.entries)
 }
--- a/vm/table.go
+++ b/vm/table.go
@@ -2,6 +2,7 @@
 package vm
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -34,6 +35,9 @@
 	// LastReported is when any VM last received a message from it, as far as this VM knows.
 	LastReported time.Time
 
+	// Revision is the table's revision at the last change of this entry that other VMs have to learn of.
+	Revision uint64
+
 	// wasAlive is whether the VM was alive when the table last checked or updated it.
 	wasAlive bool
 }
@@ -47,6 +51,8 @@
 type Table struct {
 	entries  map[string]*Entry
 	revision uint64
+	// sorted holds the entries by name; nil after a VM was added or removed.
+	sorted []*Entry
 }
 
 // Revision returns a number that grows whenever a VM is added, restarts, begins to stop, becomes alive or is lost.
@@ -63,8 +69,9 @@
 	current := t.entries[update.Name]
 	update.wasAlive = update.Alive(now)
 	if current == nil {
-		t.revision++
 		t.entries[update.Name] = &update
+		t.sorted = nil
+		t.recordChange(&update)
 		return update.wasAlive
 	}
 	if update.Incarnation < current.Incarnation {
@@ -75,7 +82,7 @@
 		current.LastReported = later(current.LastReported, update.LastReported)
 		if update.Stopping && !current.Stopping {
 			current.Stopping = true
-			t.revision++
+			t.recordChange(current)
 		}
 		return false
 	}
@@ -84,11 +91,20 @@
 		update.Stopping = update.Stopping || current.Stopping
 		update.LastReported = later(current.LastReported, update.LastReported)
 	}
-	if !sameIncarnation || update.wasAlive != current.wasAlive || update.Stopping != current.Stopping {
-		t.revision++
+	changed := !sameIncarnation || update.wasAlive != current.wasAlive || update.Stopping != current.Stopping
+	becameAlive := update.wasAlive && (!sameIncarnation || !current.wasAlive)
+	update.Revision = current.Revision
+	*current = update
+	if changed {
+		t.recordChange(current)
 	}
-	t.entries[update.Name] = &update
-	return update.wasAlive && (!sameIncarnation || !current.wasAlive)
+	return becameAlive
+}
+
+// recordChange raises the revision of the table and of an entry.
+func (t *Table) recordChange(e *Entry) {
+	t.revision++
+	e.Revision = t.revision
 }
 
 // MarkAlive marks a known VM as alive because another VM reports it as alive.
@@ -97,7 +113,7 @@
 		e.LastSeen = now
 		if !e.wasAlive {
 			e.wasAlive = true
-			t.revision++
+			t.recordChange(e)
 		}
 	}
 }
@@ -109,7 +125,7 @@
 	for name, e := range t.entries {
 		if e.wasAlive && !e.Alive(now) {
 			e.wasAlive = false
-			t.revision++
+			t.recordChange(e)
 			lost = append(lost, name)
 		}
 	}
@@ -122,6 +138,7 @@
 	for name, e := range t.entries {
 		if now.Sub(e.LastReported) > PruneAfter {
 			delete(t.entries, name)
+			t.sorted = nil
 		}
 	}
 }
@@ -131,6 +148,11 @@
 	return t.entries[name]
 }
 
+// Count returns the number of known VMs.
+func (t *Table) Count() int {
+	return len(t.entries)
+}
+
 // CountAlive returns the number of alive VMs.
 func (t *Table) CountAlive(now time.Time) int {
 	n := 0
@@ -142,13 +164,21 @@
 	return n
 }
 
+// Sorted returns all entries by name. The caller must not modify the slice or the entries, and must not keep them: the
+// next call of another method may change them.
+func (t *Table) Sorted() []*Entry {
+	if t.sorted == nil && len(t.entries) > 0 {
+		t.sorted = slices.SortedFunc(maps.Values(t.entries), func(a, b *Entry) int { return strings.Compare(a.Name, b.Name) })
+	}
+	return t.sorted
+}
+
 // Entries returns copies of all entries, sorted by name.
 func (t *Table) Entries() []Entry {
 	out := make([]Entry, 0, len(t.entries))
-	for _, e := range t.entries {
+	for _, e := range t.Sorted() {
 		out = append(out, *e)
 	}
-	slices.SortFunc(out, func(a, b Entry) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
 
