daemon, connection, setting: keep idle connections in a stop, bound heads, accept any number

Cause of scenarios stop and planned (EOF and broken pipe at a VM that stops): http.Server.SetKeepAlivesEnabled(false) closes the idle connections at once, 0.5 s before the load balancer learns of the stop, so that a request on its way was cut. Responses now carry Connection: close during the notice period instead; idle connections are closed at its end.

An endpoint in trouble may send bytes without end: heads are bounded to 64 KB with the informational responses before them, bodies to 8 MB (64 before, more than half of a small VM's memory), an event to 256 KB, and so are the heads and events of the own interface's calls.

Values out of range are replaced with event 109. Metric label result of batches has four values.

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -32,6 +32,7 @@
 	key    Key
 	raw    net.Conn
 	reader *bufio.Reader
+	head   *HeadLimiter
 	// idleRead receives the result of the read that watchIdle started; nil if there is none.
 	idleRead chan error
 	// idleUntil is the time from which an idle connection is no longer reused.
@@ -83,7 +84,8 @@
 	return []byte(b.String())
 }
 
-// Receive reads the header of the next response to a call with the given method. It skips 1xx responses.
+// Receive reads the header of the next response to a call with the given method. It skips 1xx responses, and returns an
+// error if the headers exceed MaxHeadBytes.
 func (c *Conn) Receive(method string) (*http.Response, error) {
 	if c.idleRead != nil {
 		err := <-c.idleRead
@@ -92,6 +94,8 @@
 			return nil, err
 		}
 	}
+	c.head.StartHead()
+	defer c.head.EndHead()
 	for {
 		r, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil || r.StatusCode >= http.StatusOK {
@@ -159,8 +163,7 @@
 func ReadBody(r *http.Response, limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err == nil && int64(len(body)) > limit {
-		// This text is a value of the metric label result, so its wording is kept.
-		err = errors.New("the answer is larger than the limit")
+		err = errors.New("the response is larger than the limit; check what the endpoint sends")
 	}
 	return body, err
 }
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -35,8 +35,7 @@
 	minSweepEndpoints  = 16
 )
 
-// ErrConnectionLimit is returned by Open if this VM has the maximum number of connections to an endpoint. Its text is a
-// value of the metric label result, so its wording is kept.
+// ErrConnectionLimit is returned by Open if this VM has the maximum number of connections to an endpoint.
 var ErrConnectionLimit = errors.New("the endpoint has as many connections as it accepts from this VM; wait for one or use another endpoint")
 
 // IsDialTimeout reports whether err is a dial timeout.
@@ -90,7 +89,8 @@
 	if p.OnOpen != nil {
 		p.OnOpen()
 	}
-	return &Conn{pool: p, key: key, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	head := &HeadLimiter{Reader: raw}
+	return &Conn{pool: p, key: key, raw: raw, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}, nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a socket.
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -115,7 +115,7 @@
 		if err != nil {
 			return fmt.Errorf("--%s: cannot listen on %s: %w; use a free address of this VM", s.name, s.addr, err)
 		}
-		server := &http.Server{Handler: s.handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+		server := &http.Server{Handler: d.notice.wrap(s.handler()), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 		d.optionalServers = append(d.optionalServers, server)
 		d.start(failures, func() error { return server.Serve(l) })
 	}
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"godwitplank/event"
@@ -13,7 +14,8 @@
 // Durations of the phases of a graceful stop.
 const (
 	// noticePeriod is how long a stopping VM still accepts requests, so that the load balancer sees its probe fail;
-	// boundedNoticePeriod replaces it if the setting stop_grace limits the whole stop.
+	// boundedNoticePeriod, or half of stop_grace if that is
+	// shorter, replaces it if that setting limits the whole stop.
 	noticePeriod        = 3 * time.Second
 	boundedNoticePeriod = 2800 * time.Millisecond
 	// drainMargin is added to the longest deadline as time for requests in flight to end.
@@ -24,6 +26,26 @@
 	exitMargin = 400 * time.Millisecond
 )
 
+// stopNotice asks callers to close their connections once a stop has begun.
+type stopNotice struct {
+	begun atomic.Bool
+}
+
+func (n *stopNotice) begin() {
+	n.begun.Store(true)
+}
+
+// wrap returns a handler whose responses carry "Connection: close" during a stop. http.Server.SetKeepAlivesEnabled would
+// also close the idle connections at once, on some of which a request is on its way.
+func (n *stopNotice) wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.begun.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // drain reports the VM as stopping, transfers leadership, keeps serving for the notice period and then waits for requests
 // in flight. At the end it transfers leadership once more, in case this VM holds it again.
 func (d *Daemon) drain() {
@@ -32,13 +54,11 @@
 	if err := d.control.BeginStop(ctx); err != nil {
 		d.log.Log(event.StopStepFailed, "step", "begin", "error", err.Error())
 	}
+	d.notice.begin()
 	servers := append([]*http.Server{d.callers}, d.optionalServers...)
-	for _, s := range servers {
-		s.SetKeepAlivesEnabled(false)
-	}
 	notice := noticePeriod
 	if d.Settings.StopGrace > 0 {
-		notice = boundedNoticePeriod
+		notice = min(boundedNoticePeriod, d.Settings.StopGrace/2)
 	}
 	_ = timer.Wait(ctx, notice)
 	ctx, cancel := context.WithDeadline(ctx, started.Add(d.drainTimeout()))
@@ -62,7 +82,7 @@
 // drainTimeout returns the longest time from the start of a stop to the end of the last request.
 func (d *Daemon) drainTimeout() time.Duration {
 	if d.Settings.StopGrace > 0 {
-		return d.Settings.StopGrace - exitMargin
+		return max(d.Settings.StopGrace-exitMargin, d.Settings.StopGrace/2)
 	}
 	limit := noticePeriod + drainMargin + finalExchangePeriod
 	if v := d.control.View(); v.Document != nil {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -12,6 +12,7 @@
 	ReloadRefused         = Event{106, log.ErrorLevel, "settings could not be reloaded", "reason, error", "fix the settings; the previous ones stay active"}
 	StopStepFailed        = Event{107, log.WarnLevel, "step of the graceful stop failed", "step, error", "nothing if the VM stopped; else check its other log lines"}
 	LinesDropped          = Event{108, log.WarnLevel, "log lines dropped", "lines", "read the output faster, or raise --log_level"}
+	SettingClamped        = Event{109, log.WarnLevel, "setting out of range replaced", "reason", "correct the setting"}
 	RoleChanged           = Event{201, log.InfoLevel, "replica changed role", "role, term, leader", "if it repeats every few seconds, check for a slow disk or a bad link"}
 	GroupStarted          = Event{202, log.InfoLevel, "replicated group started", "group, voters", "nothing"}
 	MembershipChanged     = Event{203, log.InfoLevel, "group membership change proposed", "step, vm, replica", "nothing; the repair is finished when the status says repaired"}
@@ -46,7 +47,7 @@
 
 // Catalogue lists all events in ascending order of their numbers.
 var Catalogue = []Event{
-	Started, StopStarted, Stopped, Ready, Reloaded, ReloadRefused, StopStepFailed, LinesDropped,
+	Started, StopStarted, Stopped, Ready, Reloaded, ReloadRefused, StopStepFailed, LinesDropped, SettingClamped,
 	RoleChanged, GroupStarted, MembershipChanged, SnapshotTaken, SnapshotInstalled, TailTruncated, LeadershipTransferred,
 	VMAlive, VMLost, ConnectionReset,
 	EndpointAnnounced, EndpointDraining, EndpointLost, EndpointConflict, EndpointEjected,
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -21,8 +21,8 @@
 	// maxAttempts bounds all attempts, including those that could not connect or that the endpoint refused.
 	// Route.Attempts bounds those that may have run the request.
 	maxAttempts = 4
-	// maxResponseBytes bounds the body of a response that is not a stream.
-	maxResponseBytes = 64 << 20
+	// maxResponseBytes bounds the body of a response that is not a stream; it is held in memory, of which a VM may have 144 MB.
+	maxResponseBytes = 8 << 20
 	// noEndpointRetryAfter is the advised delay after a refusal: endpoints that were full are likely to have capacity
 	// then.
 	noEndpointRetryAfter = 500 * time.Millisecond
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -11,7 +11,7 @@
 )
 
 // maxEventBytes bounds one server-sent event.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 256 << 10
 
 // streamEvent is one server-sent event: its unmodified bytes and its id.
 type streamEvent struct {
--- a/piece/call.go
+++ b/piece/call.go
@@ -30,7 +30,7 @@
 	}
 	response, err := d.exchange(ctx, s, c, items)
 	elapsed := d.Clock.Now().Sub(started)
-	d.Meter.RecordAttempt(s.Name, "batch", outcome(response, err), elapsed)
+	d.Meter.RecordAttempt(s.Name, "batch", resultLabel(response, err), elapsed)
 	d.Log.Log(event.BatchFinished, "service", s.Name, "endpoint", c.ID, "pieces", len(units), "requests", requestIDs(units),
 		"waited_ms", started.Sub(units[0].job.queuedAt).Milliseconds(), "took_ms", elapsed.Milliseconds(), "predicted_ms", predicted.Milliseconds(),
 		"without_room", countOutcome(response, NoMemory), "result", outcome(response, err))
@@ -65,7 +65,20 @@
 	return n
 }
 
-// outcome returns the result of a call for logs and metrics: done, not_run or the text of the error.
+// resultLabel returns the result of a call as a metric label: done, not_run, unsent or failed. The texts of errors contain
+// addresses, so that they would make a time series for each endpoint.
+func resultLabel(response Response, err error) string {
+	var unsent *unsentError
+	switch {
+	case errors.As(err, &unsent):
+		return "unsent"
+	case err != nil:
+		return "failed"
+	}
+	return outcome(response, nil)
+}
+
+// outcome returns the result of a call for logs: done, not_run or the text of the error.
 func outcome(response Response, err error) string {
 	switch {
 	case err != nil:
@@ -84,7 +97,6 @@
 	}
 	response, err := d.Protocol.DecodeRunResponse(r.StatusCode, r.Header, body)
 	if err == nil && !response.NotRun && len(response.Results) != len(items) {
-		// This text is a value of the metric label result (see outcome), so its wording is kept.
 		err = fmt.Errorf("the answer has %d results for %d pieces", len(response.Results), len(items))
 	}
 	return response, err
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -19,7 +19,7 @@
 type Budget struct {
 	// Ratio is the allowed number of retries per request, Slack the retries allowed on top of that for all VMs together.
 	Ratio float64
-	Slack int
+	Slack float64
 	// Window is the length of the sliding window.
 	Window time.Duration
 
@@ -66,7 +66,7 @@
 
 // allowed returns the number of retries that this VM may make in a window.
 func (b *Budget) allowed(c *counts, vms int) float64 {
-	return usableShare * (b.Ratio*float64(sum(c.requests)) + float64(b.Slack)/float64(max(vms, 1)))
+	return usableShare * (b.Ratio*float64(sum(c.requests)) + b.Slack/float64(max(vms, 1)))
 }
 
 // advance moves the window of a service to now and returns its counts.
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -52,6 +52,7 @@
 func TestScenarios(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:                 "testdata",
+		WorkdirRoot:         keptOnFailure(t),
 		UpdateScripts:       *updateGolden,
 		RequireExplicitExec: true,
 		Setup: func(e *testscript.Env) error {
@@ -106,6 +107,22 @@
 	})
 }
 
+// keptOnFailure returns a folder that is removed after the test unless it failed, so that the logs of all VMs are left.
+func keptOnFailure(t *testing.T) string {
+	dir, err := os.MkdirTemp("", "godwitplank-scenarios-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("the files and the logs of the VMs are in %s", dir)
+			return
+		}
+		_ = os.RemoveAll(dir)
+	})
+	return dir
+}
+
 func systemOf(ts *testscript.TestScript) *system {
 	return ts.Value(systemKey{}).(*system)
 }
--- a/stage/client.go
+++ b/stage/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"godwitplank"
+	"godwitplank/connection"
 	"godwitplank/telemetry"
 )
 
@@ -24,6 +25,7 @@
 	dialTimeout        = 500 * time.Millisecond
 	maxIdlePerEndpoint = 64
 	idleTimeout        = 30 * time.Second
+	maxHeadBytes       = connection.MaxHeadBytes
 	cancelTimeout      = 500 * time.Millisecond
 )
 
@@ -75,6 +77,8 @@
 			MaxIdleConnsPerHost: maxIdlePerEndpoint,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -118,10 +122,13 @@
 	if err := r.Write(conn); err != nil {
 		return nil, &Error{Broken, err}
 	}
-	response, err := http.ReadResponse(newReader(conn), r)
+	head := &connection.HeadLimiter{Reader: conn}
+	head.StartHead()
+	response, err := http.ReadResponse(newReader(head), r)
 	if err != nil {
 		return nil, &Error{Broken, err}
 	}
+	head.EndHead()
 	return readResponse(ctx, response, call)
 }
 
--- a/stage/stream.go
+++ b/stage/stream.go
@@ -112,6 +112,8 @@
 	scanner *bufio.Scanner
 }
 
+var errEventTooLong = errors.New("an event of the stream exceeds the size limit; check what the endpoint sends")
+
 func newEventReader(r io.Reader) *eventReader {
 	s := bufio.NewScanner(r)
 	s.Buffer(make([]byte, 0, readBufferBytes), maxEventBytes)
@@ -129,6 +131,9 @@
 		case strings.HasPrefix(line, "data: "):
 			data = append(data, strings.TrimPrefix(line, "data: ")...)
 		}
+		if len(data) > maxEventBytes {
+			return "", nil, errEventTooLong
+		}
 	}
 	if err := e.scanner.Err(); err != nil {
 		return "", nil, err
@@ -136,8 +141,8 @@
 	return "", nil, io.ErrUnexpectedEOF
 }
 
-func newReader(conn net.Conn) *bufio.Reader {
-	return bufio.NewReaderSize(conn, readBufferBytes)
+func newReader(r io.Reader) *bufio.Reader {
+	return bufio.NewReaderSize(r, readBufferBytes)
 }
 
 func asOpError(err error, op **net.OpError) bool {
