--- a/piece/queue.go
+++ b/piece/queue.go
@@ -68,7 +68,8 @@
 }
 
 // compareUrgency orders jobs: first those that have started, as their results hold memory until the last piece is done,
-// then those that can still meet their objective, then by priority and by the end of the objective.
+// then those that can still meet their objective, then by priority, and the newest objective first. It answers overload:
+// oldest first, an overloaded stage runs each job at its last moment, so that its request is late at the next stage.
 func compareUrgency(now time.Time, a, b *pendingJob) int {
 	lateA, lateB := a.missesObjective(now), b.missesObjective(now)
 	switch {
@@ -83,7 +84,7 @@
 	case a.Priority != b.Priority:
 		return a.Priority - b.Priority
 	}
-	return a.Due.Compare(b.Due)
+	return b.Due.Compare(a.Due)
 }
 
 // missesObjective reports whether the job can no longer finish within the objective of its request and may be deferred.
