--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -8,6 +8,9 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"godwitplank/route"
+	"godwitplank/timer"
 )
 
 // maxEventBytes bounds one server-sent event.
@@ -55,6 +58,8 @@
 func (g *Gateway) forwardStream(x *exchange, a *attempt, r *http.Response) outcome {
 	reader := bufio.NewReader(r.Body)
 	flusher := http.NewResponseController(x.w)
+	pace := paceMeter{clock: g.Clock}
+	defer func() { pace.report(a.candidate.Stats) }()
 	gapTimeout := gapTimeoutFactor * time.Duration(x.route.TargetGapMS) * time.Millisecond
 	for {
 		e, err := readEvent(reader)
@@ -78,6 +83,7 @@
 		} else if alreadySent(x.LastEventID, e.id) {
 			continue
 		}
+		pace.event()
 		if e.id != "" {
 			x.LastEventID = e.id
 		}
@@ -91,6 +97,27 @@
 	}
 }
 
+// paceMeter measures the time between the events of a stream.
+type paceMeter struct {
+	clock       timer.Clock
+	first, last time.Time
+	events      int
+}
+
+func (m *paceMeter) event() {
+	m.last = m.clock.Now()
+	if m.events++; m.events == 1 {
+		m.first = m.last
+	}
+}
+
+// report adds the pace to an endpoint's statistics, if there were at least two events.
+func (m *paceMeter) report(s *route.Stats) {
+	if m.events > 1 {
+		s.ObservePace(m.last.Sub(m.first) / time.Duration(m.events-1))
+	}
+}
+
 // startResponse writes the status and header of the endpoint's response to the caller.
 func (g *Gateway) startResponse(x *exchange, r *http.Response) {
 	h := x.w.Header()
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -36,6 +36,7 @@
 	latency             atomic.Int64 // EWMA of the latency at an idle endpoint, in nanoseconds; 0 before the first response
 	consecutiveFailures atomic.Int64
 	ejectedUntil        atomic.Int64 // Unix nanoseconds
+	pace                atomic.Int64 // EWMA of the time between two events of a stream, in nanoseconds; 0 before the first
 }
 
 // Ejection time of a failing endpoint. It starts at minEjection and doubles with each consecutive failure.
@@ -47,6 +48,9 @@
 // latencyDivisor is the inverse of the weight of a new sample in the latency EWMA.
 const latencyDivisor = 5
 
+// paceDivisor is the inverse of the weight of a new sample in the pace EWMA.
+const paceDivisor = 3
+
 // Begin counts a call as in flight. It returns the call's expected slowdown, to be passed to Succeed.
 func (c *Candidate) Begin() (slowdown float64) {
 	slowdown = c.slowdown()
@@ -82,6 +86,21 @@
 	s.latency.Store(old + (int64(latency)-old)/latencyDivisor)
 }
 
+// ObservePace records the mean time between the events of a stream.
+func (s *Stats) ObservePace(pace time.Duration) {
+	old := s.pace.Load()
+	if old == 0 {
+		s.pace.Store(int64(pace))
+		return
+	}
+	s.pace.Store(old + (int64(pace)-old)/paceDivisor)
+}
+
+// Pace returns the EWMA of the time between the events of streams, 0 before the first stream.
+func (s *Stats) Pace() time.Duration {
+	return time.Duration(s.pace.Load())
+}
+
 // Fail records a failed call and ejects the endpoint for a time that doubles with each consecutive failure. It returns
 // that time.
 func (s *Stats) Fail(now time.Time) time.Duration {
--- a/route/prefix.go
+++ b/route/prefix.go
@@ -80,6 +80,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best, bestCost, bestUncached := -1, 0.0, 0
+	slow := newSlowness(candidates)
 	for i := range candidates {
 		c := &candidates[i]
 		if !usable(&q, c) {
@@ -90,6 +91,7 @@
 			cached = max(cached, int(homeCachedShare*float64(total-lastTokens(parts))))
 		}
 		cost := float64(total-cached) + inFlightTokens*float64(c.Stats.InFlight()*int64(max(c.SendingVMs, 1)))
+		cost *= slow.of(c)
 		switch {
 		case c.Stats.ejected(q.Now.UnixNano()) || q.Reach.Unreachable(q.Now, c.DataCentre):
 			cost += ejectedTokens
