console: keep what the form does not show

The form dropped routes, services, request limits and the further keys and flags of workspaces from the submitted document: an operator who edited a pipeline removed all routes. TestFormKeepsWhatItDoesNotShow failed with the parse as it was (the parts were not in the form's values).

--- a/console/form.go
+++ b/console/form.go
@@ -148,16 +148,22 @@
 }
 
 // parseForm returns the document that a submitted form describes and its malformed values. It skips blank entries:
-// pipelines, stages and workspaces without a name, admissions without a pool, and planned stops without a time.
-func parseForm(values url.Values) (*document.Document, []fault.FieldError) {
+// pipelines, stages and workspaces without a name, admissions without a pool, and planned stops without a time. What the
+// form does not show is taken from current: routes, services, request limits, and further fields of workspaces by name.
+func parseForm(values url.Values, current *document.Document) (*document.Document, []fault.FieldError) {
 	r := &formReader{values: values}
-	d := &document.Document{Version: uint64(r.number("version"))}
+	d := &document.Document{
+		Version: uint64(r.number("version")), Routes: current.Routes, Services: current.Services, RequestLimits: current.RequestLimits,
+	}
 	r.forEachEntry("pipelines[%d].", "name", func(fieldPath string) { d.Pipelines = append(d.Pipelines, r.pipeline(fieldPath)) })
 	r.forEachEntry("workspaces[%d].", "name", func(fieldPath string) {
-		d.Workspaces = append(d.Workspaces, document.Workspace{
-			Name: r.text(fieldPath + "name"), KeySHA256: r.text(fieldPath + "key_sha256"), RequestsPerSecond: r.number(fieldPath + "requests_per_second"),
-			ConcurrentRequests: int(r.number(fieldPath + "concurrent_requests")), Priority: int(r.number(fieldPath + "priority")),
-		})
+		w := document.Workspace{Name: r.text(fieldPath + "name")}
+		if known := current.Workspace(w.Name); known != nil {
+			w = *known
+		}
+		w.KeySHA256, w.RequestsPerSecond = r.text(fieldPath+"key_sha256"), r.number(fieldPath+"requests_per_second")
+		w.ConcurrentRequests, w.Priority = int(r.number(fieldPath+"concurrent_requests")), int(r.number(fieldPath+"priority"))
+		d.Workspaces = append(d.Workspaces, w)
 	})
 	r.forEachEntry("endpoint_admissions[%d].", "pool", func(fieldPath string) {
 		patterns := strings.FieldsFunc(r.text(fieldPath+"endpoints"), func(c rune) bool { return c == ',' || c == ' ' })
--- a/console/pages.go
+++ b/console/pages.go
@@ -98,12 +98,17 @@
 	c.render(w, "state", http.StatusOK, &page{Status: &s, Spend: c.Views.View().Spend})
 }
 
-// showEdit shows the form filled with this VM's active document, as the next version.
-func (c *Console) showEdit(w http.ResponseWriter, _ *http.Request) {
-	d := document.Document{}
+// currentDocument returns this VM's active document, an empty one if it has none.
+func (c *Console) currentDocument() *document.Document {
 	if current := c.Views.View().Document; current != nil {
-		d = *current
+		return current
 	}
+	return &document.Document{}
+}
+
+// showEdit shows the form filled with this VM's active document, as the next version.
+func (c *Console) showEdit(w http.ResponseWriter, _ *http.Request) {
+	d := *c.currentDocument()
 	d.Version++
 	f, _ := newForm(&d, nil)
 	c.render(w, "edit", http.StatusOK, &page{Form: f})
@@ -117,7 +122,7 @@
 		c.render(w, "result", http.StatusBadRequest, &page{Messages: []string{"The form is malformed, incomplete or too large; submit it again."}})
 		return
 	}
-	d, faults := parseForm(r.PostForm)
+	d, faults := parseForm(r.PostForm, c.currentDocument())
 	text, err := json.MarshalIndent(d, "", "  ")
 	if err == nil {
 		_, err = document.Parse(text)
