--- a/daemon/reload.go
+++ b/daemon/reload.go
@@ -64,11 +64,12 @@
 	}
 	var changed []string
 	if !slices.Equal(next.Join, d.Settings.Join) {
-		changed = append(changed, "join")
-		d.Settings.Join = next.Join
 		if err := d.control.SetJoin(ctx, next.Join); err != nil {
 			d.log.Log(event.ReloadRefused, "reason", reason, "error", err.Error())
+			return // the next reload tries again
 		}
+		changed = append(changed, "join")
+		d.Settings.Join = next.Join
 	}
 	if next.StopGrace != d.Settings.StopGrace {
 		changed = append(changed, "stop_grace")
--- a/event/queue.go
+++ b/event/queue.go
@@ -47,15 +47,17 @@
 	var batch []byte
 	for line := range q.lines {
 		batch = append(batch[:0], line...)
-		for range len(q.lines) {
+		more := len(q.lines)
+		for range more {
 			batch = append(batch, <-q.lines...)
 		}
 		if n := q.unreported.Swap(0); n > 0 {
 			batch = fmt.Appendf(batch, "{\"level\":\"warn\",\"msg\":%q,\"event\":%d,\"lines\":%d}\n", LinesDropped.Message, LinesDropped.Number, n)
 		}
 		if _, err := w.Write(batch); err != nil {
-			// The log itself has failed, so the error can only be counted and reported later.
-			q.unreported.Add(1)
+			// The log itself has failed, so the lost lines can only be counted and reported later.
+			q.unreported.Add(int64(more) + 1)
+			q.dropped.Add(int64(more) + 1)
 		}
 	}
 }
--- a/event/queue_test.go
+++ b/event/queue_test.go
@@ -49,3 +49,20 @@
 	q.Close()
 	is.Equal(out.String(), want)
 }
+
+// Every line of a failed write is counted as dropped.
+func TestQueueCountsFailedWrites(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue(failingWriter{})
+	const lines = 5
+	for range lines {
+		_, err := q.Write([]byte("line\n"))
+		is.NoErr(err)
+	}
+	q.Close()
+	is.Equal(q.Dropped(), int64(lines))
+}
+
+type failingWriter struct{}
+
+func (failingWriter) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
--- a/pipeline/needs.go
+++ b/pipeline/needs.go
@@ -57,17 +57,26 @@
 }
 
 func (p *poolStat) observe(latency time.Duration) {
-	old := p.smoothed.Load()
-	if old == 0 {
-		p.smoothed.Store(int64(latency))
-		return
+	for {
+		old := p.smoothed.Load()
+		next := old + (int64(latency)-old)/latencyWeight
+		if old == 0 {
+			next = int64(latency)
+		}
+		if p.smoothed.CompareAndSwap(old, next) {
+			return
+		}
 	}
-	p.smoothed.Store(old + (int64(latency)-old)/latencyWeight)
 }
 
 // refillRetries returns retryRefill to the budget. It is called once for each first call.
 func (p *poolStat) refillRetries() {
-	p.retriesUsed.Store(max(0, p.retriesUsed.Load()-retryRefill))
+	for {
+		used := p.retriesUsed.Load()
+		if p.retriesUsed.CompareAndSwap(used, max(0, used-retryRefill)) {
+			return
+		}
+	}
 }
 
 // takeRetry takes one retry from the budget and reports whether the budget allowed it.
