control: share the paces of engines between VMs through the hubs

Cause: behind hundreds of VMs each one sees two streams a second on hundreds of engines, so its own paces say next to nothing. VMs send those that they observe with their exchanges; the hub that an endpoint announces itself to averages them and returns the result with the endpoint's renewals.

--- a/control/announce.go
+++ b/control/announce.go
@@ -76,7 +76,7 @@
 		if e.Revision <= since.endpoints {
 			reply.Renewals = append(reply.Renewals, &link.Renewal{
 				EndpointId: e.EndpointID, Incarnation: e.Incarnation, Sequence: e.Sequence, LeaseLeftMs: remaining.Milliseconds(),
-				Running: int64(e.Load.Running), Queued: int64(e.Load.Queued),
+				Running: int64(e.Load.Running), Queued: int64(e.Load.Queued), PaceUs: encodePace(c.statsFor(e)),
 			})
 			continue
 		}
@@ -139,6 +139,7 @@
 		e.Sequence = r.Sequence
 		e.Load = godwitplank.Load{Running: int(r.Running), Queued: int(r.Queued)}
 		c.mergeEndpoint(now, e, sentAt.Add(time.Duration(r.LeaseLeftMs)*time.Millisecond).Sub(now))
+		c.statsFor(&e).SetSharedPace(time.Duration(r.PaceUs) * time.Microsecond)
 	}
 	return allKnown
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -60,6 +60,7 @@
 	reply := to.buildExchangeReply(&link.ExchangeRequest{
 		Sender: from.describeSelf(), ReceiverIncarnation: p.synced.incarnation,
 		SpendSince: p.synced.spend, EndpointsSince: p.synced.endpoints, RenewalsSince: p.synced.renewals, OthersSince: p.synced.others,
+		Paces: from.pacesSince(p.pacesSentAt),
 	})
 	from.handleExchangeReply(p, sentAt, reply)
 	return reply
--- a/control/peer.go
+++ b/control/peer.go
@@ -71,7 +71,9 @@
 	callsOnly bool
 	// sentSpendRevision is the revision up to which this VM's own spend counters were sent to the peer.
 	sentSpendRevision uint64
-	lastReplyAt       time.Time
+	// pacesSentAt is when this VM last sent the paces that it observed.
+	pacesSentAt time.Time
+	lastReplyAt time.Time
 	// synced holds the revisions up to which the peer's state was received.
 	synced              syncRevisions
 	fullListRequestedAt time.Time
@@ -230,6 +232,7 @@
 			SpendSince: p.synced.spend, EndpointsSince: p.synced.endpoints, RenewalsSince: p.synced.renewals, OthersSince: p.synced.others,
 		}
 		request.Spend, sentRevision = c.localSpendSince(p.sentSpendRevision)
+		request.Paces = c.pacesSince(p.pacesSentAt)
 	}) != nil {
 		return pause
 	}
@@ -247,7 +250,7 @@
 	err = c.do(ctx, func() {
 		pause = c.pauseBetweenExchanges(sentAt, p)
 		c.handleExchangeReply(p, sentAt, reply)
-		p.sentSpendRevision = sentRevision
+		p.sentSpendRevision, p.pacesSentAt = sentRevision, sentAt
 		newer = reply.Sender.GetDocumentVersion() > c.storedDocument.GetVersion()
 	})
 	if err == nil && newer {
--- a/control/server.go
+++ b/control/server.go
@@ -34,6 +34,7 @@
 		c.recordVM(now, r.Sender, now)
 	}
 	c.mergeSpend(r.Spend)
+	c.mergePaces(r.Paces)
 	since := syncRevisions{c.Incarnation, r.SpendSince, r.EndpointsSince, r.RenewalsSince, r.OthersSince}
 	if r.ReceiverIncarnation != c.Incarnation {
 		since = syncRevisions{}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -114,7 +114,7 @@
 // report adds the pace to an endpoint's statistics, if there were at least two events.
 func (m *paceMeter) report(s *route.Stats) {
 	if m.events > 1 {
-		s.ObservePace(m.last.Sub(m.first) / time.Duration(m.events-1))
+		s.ObservePace(m.last, m.last.Sub(m.first)/time.Duration(m.events-1))
 	}
 }
 
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -37,6 +37,8 @@
 	consecutiveFailures atomic.Int64
 	ejectedUntil        atomic.Int64 // Unix nanoseconds
 	pace                atomic.Int64 // EWMA of the time between two events of a stream, in nanoseconds; 0 before the first
+	pacedAt             atomic.Int64 // Unix nanoseconds of the last change of pace
+	sharedPace          atomic.Int64 // as pace, over the streams of all VMs; 0 if unknown
 }
 
 // Ejection time of a failing endpoint. It starts at minEjection and doubles with each consecutive failure.
@@ -87,7 +89,8 @@
 }
 
 // ObservePace records the mean time between the events of a stream.
-func (s *Stats) ObservePace(pace time.Duration) {
+func (s *Stats) ObservePace(now time.Time, pace time.Duration) {
+	s.pacedAt.Store(now.UnixNano())
 	old := s.pace.Load()
 	if old == 0 {
 		s.pace.Store(int64(pace))
@@ -96,8 +99,24 @@
 	s.pace.Store(old + (int64(pace)-old)/paceDivisor)
 }
 
-// Pace returns the EWMA of the time between the events of streams, 0 before the first stream.
+// OwnPace returns the EWMA of the time between the events of the streams that were observed here, 0 before the first one,
+// and when it last changed.
+func (s *Stats) OwnPace() (time.Duration, time.Time) {
+	return time.Duration(s.pace.Load()), time.Unix(0, s.pacedAt.Load())
+}
+
+// SetSharedPace stores the pace that all VMs together observed; 0 is ignored.
+func (s *Stats) SetSharedPace(pace time.Duration) {
+	if pace > 0 {
+		s.sharedPace.Store(int64(pace))
+	}
+}
+
+// Pace returns the time between the events of streams as all VMs observed it, or else as this one did; 0 if unknown.
 func (s *Stats) Pace() time.Duration {
+	if shared := s.sharedPace.Load(); shared > 0 {
+		return time.Duration(shared)
+	}
 	return time.Duration(s.pace.Load())
 }
 
--- a/route/speed_test.go
+++ b/route/speed_test.go
@@ -96,7 +96,7 @@
 		inFlight = append(inFlight, running{e.busyUntil.Add(simulatedEvents * pace), func() {
 			c.Stats.Succeed(simulatedEvents*pace, slowdown)
 			if learn {
-				c.Stats.ObservePace(pace)
+				c.Stats.ObservePace(now, pace)
 			}
 		}})
 	}
@@ -118,11 +118,12 @@
 func TestSlowness(t *testing.T) {
 	is := is.New(t)
 	candidates := []Candidate{{Stats: &Stats{}}, {Stats: &Stats{}}, {Stats: &Stats{}}, {Stats: &Stats{}}}
+	now := time.Unix(1000, 0)
 	unknown := newSlowness(candidates)
 	is.Equal(unknown.of(&candidates[0]), 1.0)
-	candidates[0].Stats.ObservePace(10 * time.Millisecond)
-	candidates[1].Stats.ObservePace(20 * time.Millisecond)
-	candidates[2].Stats.ObservePace(time.Second)
+	candidates[0].Stats.ObservePace(now, 10*time.Millisecond)
+	candidates[1].Stats.ObservePace(now, 20*time.Millisecond)
+	candidates[2].Stats.ObservePace(now, time.Second)
 	s := newSlowness(candidates)
 	is.Equal(s.of(&candidates[0]), minSlowness)
 	is.Equal(s.of(&candidates[1]), 1.0)
