--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -85,6 +85,16 @@
 		if x.delivered > 0 && !g.allowRetry(x) {
 			break
 		}
+		if x.inputsReleased {
+			x.inputsReleased = false
+			if stagesRerun {
+				break
+			}
+			stagesRerun = true
+			if err := g.runStages(ctx, x); err != nil {
+				return err
+			}
+		}
 		o := g.forwardOnce(ctx, x)
 		if o.err == nil && o.response == nil {
 			return nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,6 +73,8 @@
 	stagesDoneAt time.Time
 	// inputs are the handles of the stage results that the request takes as input.
 	inputs []string
+	// inputsReleased is true if the inputs were freed although another attempt may need them.
+	inputsReleased bool
 	// inputBytes is the size of the stage results that the request takes as input, by data centre.
 	inputBytes map[string]int64
 	// targetDataCentre is where the request is expected to run; see chooseTargetDataCentre.
--- a/gateway/stage.go
+++ b/gateway/stage.go
@@ -316,10 +316,9 @@
 	x.inputs = nil
 }
 
-// freeInputsUnlessResumable frees the inputs once a response started, unless a resume at another endpoint may need
-// them.
-func (g *Gateway) freeInputsUnlessResumable(x *exchange) {
-	if !x.route.Resume {
-		g.freeInputs(x)
-	}
+// releaseInputs frees the inputs once a response has started: the endpoint has read them, and until they are freed they
+// occupy the memory that the next requests' results need. A resume at another endpoint runs the stages again.
+func (g *Gateway) releaseInputs(x *exchange) {
+	x.inputsReleased = len(x.inputs) > 0
+	g.freeInputs(x)
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -79,7 +79,7 @@
 		}
 		if x.firstByteAt.IsZero() {
 			g.startResponse(x, r)
-			g.freeInputsUnlessResumable(x)
+			g.releaseInputs(x)
 		} else if alreadySent(x.LastEventID, e.id) {
 			continue
 		}
