route: shared tokens that are prefilled again weigh twice

TestEnginesOfUnlikeSpeeds now plays long and short prompts and compares the wait for the first event, since with this weight the long prompts of its first form stay where they are cached.

--- a/route/prefix.go
+++ b/route/prefix.go
@@ -30,6 +30,9 @@
 	// homeCachedShare is the fraction of a prompt's shared tokens assumed to be cached at its home endpoint, since the
 	// other VMs send the same prompts there.
 	homeCachedShare = 0.8
+	// rereadWeight is the cost of each shared token that has to be prefilled again, besides its time: it delays the other
+	// requests of the endpoint and takes cache memory.
+	rereadWeight = 1
 	// remoteDCTokens is the cost of an endpoint in another data centre, remoteInputTokensPerMB that of each MiB of inputs
 	// that the endpoint fetches from another one. Both weigh the price of traffic between data centres against that of
 	// prefilling a shared token again.
@@ -92,6 +95,7 @@
 		}
 		cost := float64(total-cached) + inFlightTokens*float64(c.Stats.InFlight()*int64(max(c.SendingVMs, 1)))
 		cost *= slow.of(c)
+		cost += rereadWeight * float64(max(0, total-cached-lastTokens(parts)))
 		switch {
 		case c.Stats.ejected(q.Now.UnixNano()) || q.Reach.Unreachable(q.Now, c.DataCentre):
 			cost += ejectedTokens
