telemetry, control, raft: fewer wake-ups and handlers while idle; profile_file

A CPU profile of idle control VMs (new setting profile_file) shows only gRPC and the scheduler: 40 heartbeat messages a second at a leader, tracing handlers on every call without a trace file, ten housekeeping passes a second.

--- a/control/connection.go
+++ b/control/connection.go
@@ -87,9 +87,8 @@
 }
 
 func dial(addr netip.AddrPort) *grpc.ClientConn {
-	conn, err := grpc.NewClient("passthrough:///"+addr.String(),
+	options := append(telemetry.ClientTracing(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithStatsHandler(telemetry.ClientTracing()),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.5, Jitter: 0.2, MaxDelay: maxReconnectDelay},
@@ -97,6 +96,7 @@
 		}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
 	)
+	conn, err := grpc.NewClient("passthrough:///"+addr.String(), options...)
 	if err != nil {
 		panic("cannot create a gRPC client for a validated address: " + err.Error())
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -30,7 +30,7 @@
 // Timer intervals of the control goroutine.
 const (
 	raftTickInterval     = 50 * time.Millisecond
-	housekeepingInterval = 100 * time.Millisecond
+	housekeepingInterval = 200 * time.Millisecond
 	// pruneInterval is how often state that is no longer needed is removed.
 	pruneInterval = time.Second
 	// viewRefreshInterval is how often the view is published without a change, for what depends on the time only.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -91,6 +91,13 @@
 		}
 		defer func() { _ = closeTrace(context.Background()) }()
 	}
+	if s.ProfileFile != "" {
+		stopProfile, err := telemetry.WriteProfile(s.ProfileFile + "." + s.VM)
+		if err != nil {
+			return fmt.Errorf("--profile_file: %w; use a writable file", err)
+		}
+		defer stopProfile()
+	}
 	listeners, bound, err := listen(s)
 	if err != nil {
 		return err
@@ -166,7 +173,11 @@
 	}
 	d.callers = &http.Server{Handler: d.notice.wrap(d.entry.Handler()), ReadHeaderTimeout: readHeaderTimeout}
 	d.operators = &http.Server{Handler: operators.Handler(), ReadHeaderTimeout: readHeaderTimeout}
-	d.link = grpc.NewServer(grpc.ReadBufferSize(linkBufferBytes), grpc.SharedWriteBuffer(true), grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: control.MinKeepaliveInterval, PermitWithoutStream: true}), grpc.StatsHandler(telemetry.ServerTracing()), grpc.MaxRecvMsgSize(control.MaxMessageBytes), grpc.MaxSendMsgSize(control.MaxMessageBytes))
+	d.link = grpc.NewServer(append(telemetry.ServerTracing(),
+		grpc.ReadBufferSize(linkBufferBytes), grpc.SharedWriteBuffer(true),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: control.MinKeepaliveInterval, PermitWithoutStream: true}),
+		grpc.MaxRecvMsgSize(control.MaxMessageBytes), grpc.MaxSendMsgSize(control.MaxMessageBytes),
+	)...)
 	link.RegisterLinkServer(d.link, d.control)
 	return nil
 }
--- a/raft/core.go
+++ b/raft/core.go
@@ -28,7 +28,7 @@
 // Default timeouts of a Core, in ticks.
 const (
 	DefaultElectionTicks  = 10
-	DefaultHeartbeatTicks = 2
+	DefaultHeartbeatTicks = 3
 )
 
 // DefaultMaxEntriesPerMessage is the default of Core.MaxEntriesPerMessage.
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -37,7 +37,9 @@
 	OperatorToken string
 	LogLevel      log.Level
 	TraceFile     string
-	Policy        string
+	// ProfileFile is a file for a CPU profile of the whole run.
+	ProfileFile string
+	Policy      string
 	// SettingsFile is a YAML file for settings that neither a flag nor an environment variable sets.
 	SettingsFile string
 	// RoutesAddr serves the requests of routes, ReadyAddr the load balancer's readiness probe, ControlAddr the
@@ -100,6 +102,7 @@
 	{"operator_token_file", "", "file with the operator token; if empty, the operators' address serves only probes", readOperatorToken},
 	{"log_level", "info", "debug, info, warn or error", setLogLevel},
 	{"trace_file", "", "file to write traces to", func(s *Settings, v string) error { s.TraceFile = v; return nil }},
+	{"profile_file", "", "file to write a CPU profile of the whole run to; the VM's name is appended", func(s *Settings, v string) error { s.ProfileFile = v; return nil }},
 	{"policy", "predicted", "load balancing policy: predicted, least_in_flight, round_robin or random", setPolicy},
 	{"capacity", "0", "CPU capacity of this VM, in cores; the VMs with the highest share dispatch pieces for the others", func(s *Settings, v string) error { return setNumber(&s.Capacity, v) }},
 	{"memory_mb", "0", "memory that the process may use, in MB; 0 for no limit", func(s *Settings, v string) error { return setCount(&s.MemoryMB, v) }},
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -20,6 +21,7 @@
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/stats"
 )
 
@@ -139,6 +141,7 @@
 	provider := sdktrace.NewTracerProvider(sdktrace.WithBatcher(exporter))
 	otel.SetTracerProvider(provider)
 	otel.SetTextMapPropagator(propagation.TraceContext{})
+	tracing.Store(true)
 	return func(ctx context.Context) error {
 		err := provider.Shutdown(ctx)
 		_ = file.Close()
@@ -156,6 +159,9 @@
 	return otel.GetTextMapPropagator().Extract(ctx, propagation.HeaderCarrier(h))
 }
 
+// tracing is true once WriteTraces was called.
+var tracing atomic.Bool
+
 // tracedMethods are the gRPC methods that VMs call on behalf of a request.
 var tracedMethods = []string{"/Propose", "/FindOrder"}
 
@@ -168,14 +174,21 @@
 	return false
 }
 
-// ClientTracing returns the gRPC client handler that traces calls to other VMs made on behalf of a request.
-func ClientTracing() stats.Handler {
-	return otelgrpc.NewClientHandler(otelgrpc.WithFilter(isTraced))
+// ClientTracing returns the gRPC options that trace calls to other VMs made on behalf of a request; none if WriteTraces
+// was not called, since a handler takes time for every call.
+func ClientTracing() []grpc.DialOption {
+	if !tracing.Load() {
+		return nil
+	}
+	return []grpc.DialOption{grpc.WithStatsHandler(otelgrpc.NewClientHandler(otelgrpc.WithFilter(isTraced)))}
 }
 
-// ServerTracing returns the gRPC server handler that traces calls from other VMs made on behalf of a request.
-func ServerTracing() stats.Handler {
-	return otelgrpc.NewServerHandler(otelgrpc.WithFilter(isTraced))
+// ServerTracing returns the gRPC options that trace calls from other VMs made on behalf of a request, as ClientTracing.
+func ServerTracing() []grpc.ServerOption {
+	if !tracing.Load() {
+		return nil
+	}
+	return []grpc.ServerOption{grpc.StatsHandler(otelgrpc.NewServerHandler(otelgrpc.WithFilter(isTraced)))}
 }
 
 // StartSpan starts a span. The values are alternating attribute names and values.
