piece: queue by job instead of by piece; refuse what a lasting overload passes over

Each job sorted all waiting pieces, and each offer copied them. Jobs are now placed by binary search and sorted at ticks, an offer stops when it is full. Late jobs of a priority of which none was started for 1 s are refused with the time to come back, instead of being held until their callers leave.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -211,8 +211,12 @@
 	case ctx.Err() != nil:
 		return fault.New(fault.ClientDisconnected, "the caller disconnected before the response was complete")
 	case fault.Is(err) && x.possibleRuns == 0 && stageFaultKinds[fault.As(err).Kind]:
+		retryAfter := noEndpointRetryAfter
+		if known := fault.As(err).RetryAfterMS; known > 0 {
+			retryAfter = time.Duration(known) * time.Millisecond
+		}
 		return fault.New(fault.NoEndpoint, "the request was not sent to an endpoint (%v); retry after the indicated delay", err).
-			WithOutcome(godwitplank.NotRun, noEndpointRetryAfter)
+			WithOutcome(godwitplank.NotRun, retryAfter)
 	case fault.Is(err):
 		return fault.As(err)
 	case errors.Is(err, context.DeadlineExceeded) && x.possibleRuns == 0:
--- a/piece/broker.go
+++ b/piece/broker.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"godwitplank"
 	"godwitplank/event"
 	"godwitplank/fault"
 	"godwitplank/link"
@@ -153,7 +154,7 @@
 	case reply.InputsGone:
 		return nil, ErrInputsGone
 	case reply.Refused != "":
-		return nil, fault.New(fault.StageFailed, "%s", reply.Refused)
+		return nil, fault.New(fault.StageFailed, "%s", reply.Refused).WithOutcome(godwitplank.NotRun, time.Duration(reply.RetryAfterMs)*time.Millisecond)
 	}
 	return reply.Handles, nil
 }
@@ -264,7 +265,11 @@
 	case errors.Is(err, ErrInputsGone):
 		return &link.RunPiecesReply{InputsGone: true}, nil
 	case err != nil:
-		return &link.RunPiecesReply{Refused: err.Error()}, nil
+		reply := &link.RunPiecesReply{Refused: err.Error()}
+		if fault.Is(err) {
+			reply.RetryAfterMs = fault.As(err).RetryAfterMS
+		}
+		return reply, nil
 	}
 	return &link.RunPiecesReply{Handles: handles}, nil
 }
--- a/piece/dispatch.go
+++ b/piece/dispatch.go
@@ -25,21 +25,27 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expire(d.Clock.Now())
+	now := d.Clock.Now()
 	for name, q := range d.queues {
+		q.expire(now)
+		q.sort(now)
 		d.dispatch(name, q)
+		q.refuseHopeless(now)
 	}
 }
 
 // dispatch sends queued units of a service to its available endpoints.
 func (d *Dispatcher) dispatch(service string, q *queue) {
 	now := d.Clock.Now()
-	q.expire(now)
 	s := d.Services.Service(service)
-	if len(q.waiting) == 0 || s == nil || s.Batch == nil {
+	if q.units == 0 || s == nil || s.Batch == nil {
 		return
 	}
 	available, servedDCs := d.availableEndpoints(now, s)
 	for i, c := range available {
+		if q.units == 0 {
+			return
+		}
 		state := d.endpoint(endpointKey(c))
 		units := q.take(d.offer(now, s, q, available[i:], servedDCs))
 		if len(units) == 0 {
@@ -70,7 +76,8 @@
 			sameDataCentre++
 		}
 	}
-	o.share = int(math.Ceil(float64(q.countRunnable(now, c.DataCentre, servedDCs)) / float64(sameDataCentre)))
+	runnable := q.countRunnable(now, c.DataCentre, servedDCs, s.Batch.Pieces*sameDataCentre)
+	o.share = int(math.Ceil(float64(runnable) / float64(sameDataCentre)))
 	charged := make(map[*pendingJob]bool)
 	o.allowed = func(u *unit) bool { return d.chargeRetry(now, s.Name, u, charged) }
 	return o
--- a/piece/dispatcher.go
+++ b/piece/dispatcher.go
@@ -127,9 +127,9 @@
 	if q == nil {
 		return
 	}
-	for _, u := range q.waiting {
-		if !u.job.started && !u.job.LocalOnly {
-			u.job.end(ErrMoved)
+	for _, j := range q.jobs {
+		if !j.started && !j.LocalOnly {
+			j.end(ErrMoved)
 		}
 	}
 }
@@ -140,7 +140,7 @@
 	defer d.mu.Unlock()
 	out := make(map[string]int, len(d.queues))
 	for name, q := range d.queues {
-		out[name] = len(q.waiting)
+		out[name] = q.units
 	}
 	return out
 }
--- a/piece/overload_test.go
+++ b/piece/overload_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"godwitplank/document"
+	"godwitplank/fault"
 )
 
 // overload plays requests of three stages, one after the other, at services that receive more work than they can do. It
@@ -90,9 +91,8 @@
 // dispatch gives queued pieces to the idle endpoints of a stage.
 func (o *overload) dispatch(i int) {
 	s := o.stages[i]
-	o.queues[i].expire(o.now)
-	for o.idle[i] > 0 && len(o.queues[i].waiting) > 0 {
-		share := (len(o.queues[i].waiting) + o.idle[i] - 1) / o.idle[i]
+	for o.idle[i] > 0 && o.queues[i].units > 0 {
+		share := (o.queues[i].units + o.idle[i] - 1) / o.idle[i]
 		units := o.queues[i].take(offer{now: o.now, share: share, maxPieces: s.Batch.Pieces, freeBytes: -1, allowed: func(*unit) bool { return true }})
 		if len(units) == 0 {
 			return
@@ -135,13 +135,16 @@
 // for requests that got no answer.
 type overloadResult struct {
 	urgent, normal, wasted float64
+	// refused is the share of the requests without an answer that were refused instead of held until the caller left.
+	refused float64
 	// capacity is the number of requests a second that the slowest stage can serve with full calls.
 	capacity float64
 }
 
 // playOverload plays 30 s of urgent and of normal requests.
 func playOverload(seed uint64, normalPerSecond float64) overloadResult {
-	o := &overload{now: time.Unix(1000, 0)}
+	started := time.Unix(1000, 0)
+	o := &overload{now: started}
 	for i, perPiece := range []float64{13, 2.8, 1.6} {
 		o.stages = append(o.stages, &document.Service{Name: fmt.Sprint("s", i), Batch: &document.Batch{Pieces: []int{10, 46, 78}[i], CallMS: 150, PieceMS: perPiece}})
 		o.queues = append(o.queues, queue{})
@@ -160,6 +163,19 @@
 			})
 		}
 	}
+	var tick func()
+	tick = func() {
+		for i := range o.queues {
+			o.queues[i].expire(o.now)
+			o.queues[i].sort(o.now)
+			o.dispatch(i)
+			o.queues[i].refuseHopeless(o.now)
+		}
+		if o.now.Before(started.Add(40 * time.Second)) {
+			o.after(dispatchInterval, tick)
+		}
+	}
+	tick()
 	arrive(0, urgentPerSecond)
 	arrive(2, normalPerSecond)
 	for o.events.Len() > 0 {
@@ -168,10 +184,19 @@
 		e.run()
 	}
 	var asked, met [3]float64
+	unanswered, refused := 0.0, 0.0
 	for _, r := range o.requests {
 		asked[r.priority]++
+		select {
+		case err := <-r.job.done:
+			if fault.Is(err) {
+				refused++
+			}
+		default:
+		}
 		switch {
 		case r.answeredAt.IsZero():
+			unanswered++
 			o.wasted += r.work
 		case r.answeredAt.Before(r.due):
 			met[r.priority]++
@@ -182,7 +207,7 @@
 		callsPerSecond := stageEndpoints / PredictCallTime(s, s.Batch.Pieces).Seconds()
 		capacity = min(capacity, callsPerSecond*float64(s.Batch.Pieces)/float64(piecesOfStage[i]))
 	}
-	return overloadResult{met[0] / asked[0], met[2] / asked[2], float64(o.wasted) / float64(o.pieces), capacity}
+	return overloadResult{met[0] / asked[0], met[2] / asked[2], float64(o.wasted) / float64(o.pieces), refused / max(1, unanswered), capacity}
 }
 
 // With more work than the services can do, urgent requests meet their objective as before, and as many of the others do as
@@ -199,6 +224,7 @@
 			is.True(r.urgent > 0.95)
 			is.True(goodput > minGoodput)
 			is.True(r.wasted < 0.1)
+			is.True(r.refused > 0.5 || perSecond < r.capacity-urgentPerSecond)
 		}
 	}
 }
--- a/piece/queue.go
+++ b/piece/queue.go
@@ -1,8 +1,13 @@
 package piece
 
 import (
+	"math/rand/v2"
 	"slices"
+	"sort"
 	"time"
+
+	"godwitplank"
+	"godwitplank/fault"
 )
 
 // maxFailures is how many times a piece may fail before its job does.
@@ -13,6 +18,8 @@
 	*Job
 	handles   []string
 	remaining int
+	// waiting holds the units in the queue.
+	waiting []*unit
 	// ended is true once the job has a result or error for Run, or Run no longer waits for it.
 	ended bool
 	done  chan error
@@ -56,15 +63,32 @@
 	}
 }
 
-// queue holds the units of a service that wait for an endpoint, most urgent first.
+// queue holds the jobs of a service with units that wait for an endpoint, most urgent first. A service of hundreds of VMs
+// gets a thousand jobs a second, so only sort and expire look at all of them; they run at every tick.
 type queue struct {
-	waiting []*unit
+	jobs []*pendingJob
+	// units is the number of waiting units.
+	units int
+	// passedOverSince is when the queue began to pass over its late jobs, by priority.
+	passedOverSince map[int]time.Time
 }
 
-// insert adds units in order of urgency.
+// insert adds units and places their jobs in order of urgency.
 func (q *queue) insert(now time.Time, units ...*unit) {
-	q.waiting = append(q.waiting, units...)
-	slices.SortStableFunc(q.waiting, func(a, b *unit) int { return compareUrgency(now, a.job, b.job) })
+	for _, u := range units {
+		q.units++
+		u.job.waiting = append(u.job.waiting, u)
+		if len(u.job.waiting) > 1 {
+			continue
+		}
+		position := sort.Search(len(q.jobs), func(k int) bool { return compareUrgency(now, q.jobs[k], u.job) > 0 })
+		q.jobs = slices.Insert(q.jobs, position, u.job)
+	}
+}
+
+// sort orders the jobs again, since more of them miss their objective as time passes.
+func (q *queue) sort(now time.Time) {
+	slices.SortStableFunc(q.jobs, func(a, b *pendingJob) int { return compareUrgency(now, a, b) })
 }
 
 // compareUrgency orders jobs: first those that have started, as their results hold memory until the last piece is done,
@@ -92,6 +116,55 @@
 	return !p.InputsHoldMemory && p.Due.Before(now.Add(p.predicted))
 }
 
+// Refusal of late jobs in a lasting overload.
+const (
+	// hopelessAfter is how long no late job of a priority was started until all of them are refused.
+	hopelessAfter = time.Second
+	// Callers are told to come back after a time between these two, so that they do not return together.
+	minOverloadRetry = 2 * time.Second
+	maxOverloadRetry = 3 * time.Second
+)
+
+// refuseHopeless ends the late jobs of the priorities of which none was started for hopelessAfter, since newer jobs take
+// all capacity. It answers a lasting overload: their callers learn at once that they are not served, and not when they
+// give up.
+func (q *queue) refuseHopeless(now time.Time) {
+	late := make(map[int][]*pendingJob)
+	for _, j := range q.jobs {
+		if !j.started && !j.ended && j.missesObjective(now) {
+			late[j.Priority] = append(late[j.Priority], j)
+		}
+	}
+	for priority := range q.passedOverSince {
+		if late[priority] == nil {
+			delete(q.passedOverSince, priority)
+		}
+	}
+	for priority, jobs := range late {
+		since, ok := q.passedOverSince[priority]
+		if !ok {
+			if q.passedOverSince == nil {
+				q.passedOverSince = make(map[int]time.Time)
+			}
+			q.passedOverSince[priority] = now
+			continue
+		}
+		if now.Sub(since) < hopelessAfter {
+			continue
+		}
+		for _, j := range jobs {
+			j.end(errOverloaded())
+		}
+	}
+}
+
+// errOverloaded returns the error of a job that is refused in an overload.
+func errOverloaded() error {
+	retryAfter := minOverloadRetry + rand.N(maxOverloadRetry-minOverloadRetry)
+	return fault.New(fault.StageFailed, "the endpoints of the stage's service are overloaded and newer requests go first; try again after the indicated delay").
+		WithOutcome(godwitplank.NotRun, retryAfter)
+}
+
 // spillShare is the fraction of the time to a job's objective that it waits for an endpoint in its own data
 // centre before one in another may run it.
 const spillShare = 0.35
@@ -105,13 +178,17 @@
 	return now.Sub(p.queuedAt) > time.Duration(spillShare*float64(p.Due.Sub(p.queuedAt)))
 }
 
-// expire ends jobs past their deadline with ErrDeadline and drops the units of all ended jobs.
+// expire ends jobs past their deadline with ErrDeadline and drops all ended jobs.
 func (q *queue) expire(now time.Time) {
-	q.waiting = slices.DeleteFunc(q.waiting, func(u *unit) bool {
-		if !u.job.ended && !now.Before(u.job.Deadline) {
-			u.job.end(ErrDeadline)
+	q.jobs = slices.DeleteFunc(q.jobs, func(j *pendingJob) bool {
+		if !j.ended && !now.Before(j.Deadline) {
+			j.end(ErrDeadline)
 		}
-		return u.job.ended
+		if j.ended {
+			q.units -= len(j.waiting)
+			j.waiting = nil
+		}
+		return j.ended
 	})
 }
 
@@ -148,31 +225,55 @@
 // take removes and returns the units for an offer, most urgent first.
 func (q *queue) take(o offer) []*unit {
 	var out []*unit
+	for k := 0; k < len(q.jobs) && len(out) < min(o.share, o.maxPieces); {
+		j := q.jobs[k]
+		if !j.ended && j.mayRunIn(o.now, o.dataCentre, o.servedDCs) {
+			out = q.takeFrom(j, &o, out)
+		}
+		if len(j.waiting) > 0 {
+			k++
+			continue
+		}
+		q.jobs = slices.Delete(q.jobs, k, k+1)
+	}
+	return out
+}
+
+// takeFrom moves the units of a job that an offer can take from the job to out, and reduces the offer's memory.
+func (q *queue) takeFrom(j *pendingJob, o *offer, out []*unit) []*unit {
 	var previous *pendingJob
-	rest := q.waiting[:0:0]
-	for _, u := range q.waiting {
-		enough := len(out) >= o.maxPieces || (len(out) >= o.share && u.job != previous)
-		if enough || !u.job.mayRunIn(o.now, o.dataCentre, o.servedDCs) || !o.fits(u, previous) || !o.allowed(u) {
+	rest := j.waiting[:0]
+	opened := !j.started
+	for _, u := range j.waiting {
+		if len(out) >= o.maxPieces || !o.fits(u, previous) || !o.allowed(u) {
 			rest = append(rest, u)
 			continue
 		}
 		out = append(out, u)
-		previous = u.job
-		u.job.started = true
+		previous = j
+		j.started = true
 		if o.freeBytes >= 0 {
-			o.freeBytes -= u.job.ResultBytes
+			o.freeBytes -= j.ResultBytes
 		}
 	}
-	q.waiting = rest
+	if opened && j.started && j.missesObjective(o.now) {
+		delete(q.passedOverSince, j.Priority)
+	}
+	q.units -= len(j.waiting) - len(rest)
+	clear(j.waiting[len(rest):])
+	j.waiting = rest
 	return out
 }
 
-// countRunnable returns the number of units that an endpoint in a data centre may run now.
-func (q *queue) countRunnable(now time.Time, dataCentre string, servedDCs map[string]bool) int {
+// countRunnable returns the number of units that an endpoint in a data centre may run now, at most limit.
+func (q *queue) countRunnable(now time.Time, dataCentre string, servedDCs map[string]bool, limit int) int {
 	n := 0
-	for _, u := range q.waiting {
-		if u.job.mayRunIn(now, dataCentre, servedDCs) {
-			n++
+	for _, j := range q.jobs {
+		if j.mayRunIn(now, dataCentre, servedDCs) {
+			n += len(j.waiting)
+		}
+		if n >= limit {
+			return limit
 		}
 	}
 	return n
--- a/piece/queue_test.go
+++ b/piece/queue_test.go
@@ -36,6 +36,15 @@
 	return out
 }
 
+// waiting returns the waiting units in order of urgency.
+func (q *queue) waiting() []*unit {
+	var out []*unit
+	for _, j := range q.jobs {
+		out = append(out, j.waiting...)
+	}
+	return out
+}
+
 func TestOrder(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -55,7 +64,7 @@
 			for _, j := range c.jobs {
 				q.insert(start, j.units()...)
 			}
-			is.Equal(requestOrder(q.waiting), c.want)
+			is.Equal(requestOrder(q.waiting()), c.want)
 		})
 	}
 }
@@ -98,9 +107,9 @@
 	a := job("a", 2, 0, 900)
 	q.insert(start, a.units()...)
 	q.expire(start.Add(9 * time.Second))
-	is.Equal(len(q.waiting), 2)
+	is.Equal(q.units, 2)
 	q.expire(start.Add(10 * time.Second))
-	is.Equal(len(q.waiting), 0)
+	is.Equal(q.units, 0)
 	is.Equal(<-a.done, ErrDeadline)
 }
 
@@ -114,7 +123,7 @@
 			q.insert(start, j.units()...)
 		}
 		taken := make(map[*unit]bool)
-		for len(q.waiting) > 0 {
+		for q.units > 0 {
 			maxPieces := rapid.IntRange(1, 12).Draw(t, "maxPieces")
 			units := q.take(offer{now: start, share: rapid.IntRange(1, 12).Draw(t, "share"), maxPieces: maxPieces, freeBytes: -1, allowed: allowAll})
 			if len(units) == 0 || len(units) > maxPieces {
