--- a/control/hub_test.go
+++ b/control/hub_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -79,3 +80,30 @@
 	}
 	is.Equal(dispatchers(), []string{"vm-b", "vm-c"})
 }
+
+// VMs exchange state less often with distant hubs the more VMs there are, and a change of owner waits until all know it.
+func TestSettleTime(t *testing.T) {
+	is := is.New(t)
+	c := newControl(t, "vm-a", 1)
+	c.HubsOnly, c.DataCentre = true, "dc-a"
+	near, far := &peer{name: "hub-a"}, &peer{name: "hub-b"}
+	now := c.Clock.Now()
+	c.vms.Merge(now, vm.Entry{Name: "hub-a", DataCentre: "dc-a", LastSeen: now})
+	c.vms.Merge(now, vm.Entry{Name: "hub-b", DataCentre: "dc-b", LastSeen: now})
+	for _, want := range []struct {
+		vms                int
+		distant, settleFor time.Duration
+	}{
+		{10, exchangeInterval, 800 * time.Millisecond},
+		{300, maxDistantInterval, 1300 * time.Millisecond},
+	} {
+		for i := range want.vms {
+			c.vms.Merge(now, vm.Entry{Name: fmt.Sprint("vm-", i), LastSeen: now})
+		}
+		later := now.Add(2 * startupPeriod)
+		is.Equal(c.pauseBetweenExchanges(later, near), exchangeInterval)
+		is.Equal(c.pauseBetweenExchanges(later, far), want.distant)
+		c.publish()
+		is.Equal(c.SettleTime(), want.settleFor)
+	}
+}
--- a/control/peer.go
+++ b/control/peer.go
@@ -202,7 +202,7 @@
 		if starting {
 			return exchangeInterval
 		}
-		return min(max(exchangeInterval, time.Duration(c.vms.Count())*distantIntervalPerVM), maxDistantInterval)
+		return c.distantInterval()
 	}
 	if starting {
 		return startupExchangeInterval
@@ -210,6 +210,11 @@
 	return exchangeInterval
 }
 
+// distantInterval returns the time between two exchanges of a VM without a data folder with a distant hub.
+func (c *Control) distantInterval() time.Duration {
+	return min(max(exchangeInterval, time.Duration(c.vms.Count())*distantIntervalPerVM), maxDistantInterval)
+}
+
 // nearPeer reports whether the VM of a peer is in this VM's data centre.
 func (c *Control) nearPeer(p *peer) bool {
 	v := c.vms.Find(p.name)
--- a/control/pieces.go
+++ b/control/pieces.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -41,6 +42,11 @@
 	return p.client()
 }
 
+// SettleTime returns how long it takes until the other VMs know that a VM stops or is lost.
+func (c *Control) SettleTime() time.Duration {
+	return c.View().SettleTime
+}
+
 // DispatcherVMs returns the names of the alive VMs that dispatch pieces for other VMs.
 func (c *Control) DispatcherVMs() []string {
 	return c.View().DispatcherVMs
--- a/control/view.go
+++ b/control/view.go
@@ -42,6 +42,8 @@
 	EntryVMs []string
 	// DispatcherVMs names those in EntryVMs that dispatch pieces for other VMs: the ones with the most capacity.
 	DispatcherVMs []string
+	// SettleTime is how long it takes until the other VMs know that a VM stops or is lost.
+	SettleTime time.Duration
 
 	aliveVMs int // number of alive VMs, including this one
 }
@@ -71,6 +73,9 @@
 	return "working"
 }
 
+// settleMargin is the part of View.SettleTime that does not depend on the number of VMs.
+const settleMargin = 300 * time.Millisecond
+
 // stopMargin is added to the longest deadline to find when to stop new work before a planned stop.
 const stopMargin = 3 * time.Second
 
@@ -90,7 +95,7 @@
 	v := &View{
 		Document: c.document, Canonical: c.storedDocument.GetCanonical(), Digest: c.storedDocument.GetDigest(), ActiveSince: c.activeSince,
 		Pools: make(map[string][]route.Candidate), VMs: c.vms.Entries(), Group: c.currentGroup(),
-		Stopping: c.stopping, PublishedAt: now, aliveVMs: 1 + c.vms.CountAlive(now),
+		Stopping: c.stopping, PublishedAt: now, SettleTime: c.distantInterval() + settleMargin, aliveVMs: 1 + c.vms.CountAlive(now),
 	}
 	c.entryVMs.update(c, now)
 	v.EntryVMs, v.DispatcherVMs = c.entryVMs.names, c.entryVMs.dispatchers
--- a/piece/broker.go
+++ b/piece/broker.go
@@ -22,12 +22,9 @@
 const (
 	// ownerCheckInterval is how often a VM checks that the VM that dispatches its job is still alive.
 	ownerCheckInterval = 250 * time.Millisecond
-	// ownershipInterval is how often a VM checks that it still owns the services of its queued jobs, and the delay
+	// ownershipInterval is how often a VM checks that it still owns the services of its queued jobs, and the least delay
 	// before a job is sent again after a VM refused it because it no longer owns the service.
 	ownershipInterval = 100 * time.Millisecond
-	// moveDelay is how long another VM has to own a service before queued jobs move to it. It is longer than the interval
-	// of the state exchange between the VMs, so that all of them know the new owner by then.
-	moveDelay = 800 * time.Millisecond
 	// suspectPeriod is how long a VM that failed to dispatch a job is sent no others.
 	suspectPeriod = 2 * time.Second
 )
@@ -38,6 +35,8 @@
 	LinkClient(ctx context.Context, vm string) link.LinkClient
 	// DispatcherVMs returns the VMs that are alive and may dispatch jobs, in the same order on every VM.
 	DispatcherVMs() []string
+	// SettleTime returns how long it takes until the VMs agree on DispatcherVMs after a change.
+	SettleTime() time.Duration
 }
 
 // Broker sends the jobs of each service to the service's owner, the one VM that dispatches them, so that pieces of requests
@@ -78,7 +77,7 @@
 		}
 		if moved(err) {
 			// The VMs may disagree on the owner until their next state exchange.
-			if timer.Wait(ctx, ownershipInterval) != nil {
+			if timer.Wait(ctx, max(ownershipInterval, b.Links.SettleTime()/maxOwnerAttempts)) != nil {
 				return nil, context.Cause(ctx)
 			}
 		} else {
@@ -207,13 +206,13 @@
 	}
 }
 
-// moveUnowned moves the queued jobs of services that another VM has owned for longer than moveDelay.
+// moveUnowned moves the queued jobs of services that another VM has owned for the time in which all VMs learn of that.
 func (b *Broker) moveUnowned() {
 	now := b.Clock.Now()
 	for _, service := range b.Dispatcher.KnownServices() {
 		if b.owner(service) == b.VM {
 			b.lastOwned[service] = now
-		} else if now.Sub(b.lastOwned[service]) > moveDelay {
+		} else if now.Sub(b.lastOwned[service]) > b.Links.SettleTime() {
 			b.Dispatcher.MoveQueued(service)
 		}
 	}
