route: leave an engine alone for 300 ms after it refused a request

Each refusal is charged to the retry budget, of which a VM of 294 has one or two calls in 10 s; a VM sent its next request there again. Tests 'home full' and 'home full before'.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -370,7 +370,10 @@
 	case ctx.Err() != nil:
 		stats.Cancel(elapsed)
 		result = "left"
-	case errors.Is(o.err, errNotRun) || errors.Is(o.err, errInputsGone) || errors.Is(o.err, connection.ErrConnectionLimit):
+	case errors.Is(o.err, errNotRun):
+		stats.Reject(now)
+		result = "not_run"
+	case errors.Is(o.err, errInputsGone) || errors.Is(o.err, connection.ErrConnectionLimit):
 		stats.Cancel(0)
 		result = "not_run"
 	default:
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -45,6 +45,8 @@
 const (
 	minEjection = 250 * time.Millisecond
 	maxEjection = 8 * time.Second
+	// rejectionPause is about the time in which a full endpoint ends a request.
+	rejectionPause = 300 * time.Millisecond
 )
 
 // latencyDivisor is the inverse of the weight of a new sample in the latency EWMA.
@@ -130,6 +132,16 @@
 	return ejection
 }
 
+// Reject records a call that the endpoint refused without running it, mostly because it is full. The endpoint is ejected for
+// rejectionPause, without counting a failure: each refused call counts as a retry of the service.
+func (s *Stats) Reject(now time.Time) {
+	s.inFlight.Add(-1)
+	until := now.Add(rejectionPause).UnixNano()
+	if s.ejectedUntil.Load() < until {
+		s.ejectedUntil.Store(until)
+	}
+}
+
 // Cancel records a call that was abandoned before a response. If it had already run longer than the latency EWMA, its
 // duration is added as a sample, since the endpoint is at least that slow.
 func (s *Stats) Cancel(elapsed time.Duration) {
--- a/route/prefix_test.go
+++ b/route/prefix_test.go
@@ -45,8 +45,13 @@
 		change func(p *PrefixIndex, q *Query, c []Candidate, home int)
 		same   bool
 	}{
-		"home":               {func(*PrefixIndex, *Query, []Candidate, int) {}, true},
-		"home ejected":       {func(_ *PrefixIndex, q *Query, c []Candidate, home int) { c[home].Stats.Fail(q.Now) }, false},
+		"home":         {func(*PrefixIndex, *Query, []Candidate, int) {}, true},
+		"home ejected": {func(_ *PrefixIndex, q *Query, c []Candidate, home int) { c[home].Stats.Fail(q.Now) }, false},
+		"home full":    {func(_ *PrefixIndex, q *Query, c []Candidate, home int) { c[home].Begin(); c[home].Stats.Reject(q.Now) }, false},
+		"home full before": {func(_ *PrefixIndex, q *Query, c []Candidate, home int) {
+			c[home].Begin()
+			c[home].Stats.Reject(q.Now.Add(-time.Second))
+		}, true},
 		"home unconfirmed":   {func(_ *PrefixIndex, _ *Query, c []Candidate, home int) { c[home].Confirmed = false }, false},
 		"home already tried": {func(_ *PrefixIndex, q *Query, c []Candidate, home int) { q.Tried = []string{c[home].ID} }, false},
 		"home busy": {func(_ *PrefixIndex, _ *Query, c []Candidate, home int) {
