--- a/control/hub_test.go
+++ b/control/hub_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"godwitplank/link"
+	"godwitplank/spend"
 	"godwitplank/vm"
 )
 
@@ -107,3 +108,16 @@
 		is.Equal(c.SettleTime(), want.settleFor)
 	}
 }
+
+// Usage that was counted before a VM raised its incarnation counts once.
+func TestRaisedIncarnationKeepsSpend(t *testing.T) {
+	is := is.New(t)
+	c := newControl(t, "vm-a", 1)
+	c.Tally = &spend.Tally{}
+	c.Tally.Add("w", "s", time.Second)
+	c.mergeLocalSpend()
+	c.raiseIncarnation(5)
+	c.Tally.Add("w", "s", time.Second)
+	c.mergeLocalSpend()
+	is.Equal(c.spendCounters.Totals()[0].Calls, uint64(2))
+}
--- a/control/peer.go
+++ b/control/peer.go
@@ -288,7 +288,7 @@
 			c.recordVM(now, v, sentAt.Add(-time.Duration(v.AgeMs)*time.Millisecond))
 		} else if v.Incarnation > c.Incarnation {
 			// The clock stepped back between two starts: other VMs would ignore this VM as an older incarnation.
-			c.Incarnation = v.Incarnation + 1
+			c.raiseIncarnation(v.Incarnation + 1)
 		}
 	}
 	p.recordAlive(r.Others, p.synced.others == 0 || p.synced.incarnation != r.Sender.GetIncarnation())
--- a/control/spend.go
+++ b/control/spend.go
@@ -55,6 +55,17 @@
 	c.spendSavedRevision, c.spendSavedAt = revision, now
 }
 
+// raiseIncarnation changes this VM's incarnation. What was counted so far stays under the earlier one, so that it does not
+// count twice.
+func (c *Control) raiseIncarnation(incarnation uint64) {
+	if c.Tally != nil {
+		for _, l := range c.Tally.Take(c.Name, c.Incarnation) {
+			c.spendCounters.Merge(l)
+		}
+	}
+	c.Incarnation = incarnation
+}
+
 func (c *Control) mergeLocalSpend() {
 	if c.Tally == nil {
 		return
--- a/spend/counters.go
+++ b/spend/counters.go
@@ -122,10 +122,24 @@
 	t.amounts[k] = Amount{a.Calls + 1, a.Held + held}
 }
 
+// Take returns the counters as Lines does, and begins to count from 0 again.
+func (t *Tally) Take(vm string, incarnation uint64) []Line {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := t.lines(vm, incarnation)
+	t.amounts = nil
+	return out
+}
+
 // Lines returns the counters with the given VM name and incarnation in their keys.
 func (t *Tally) Lines(vm string, incarnation uint64) []Line {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.lines(vm, incarnation)
+}
+
+// lines returns the counters. The caller holds t.mu.
+func (t *Tally) lines(vm string, incarnation uint64) []Line {
 	out := make([]Line, 0, len(t.amounts))
 	for k, a := range t.amounts {
 		out = append(out, Line{Key{vm, incarnation, k[0], k[1]}, a})
