--- a/piece/queue.go
+++ b/piece/queue.go
@@ -119,7 +119,7 @@
 // Refusal of late jobs in a lasting overload.
 const (
 	// hopelessAfter is how long no late job of a priority was started until all of them are refused.
-	hopelessAfter = time.Second
+	hopelessAfter = 3 * time.Second
 	// Callers are told to come back after a time between these two, so that they do not return together.
 	minOverloadRetry = 2 * time.Second
 	maxOverloadRetry = 3 * time.Second
