--- a/piece/queue.go
+++ b/piece/queue.go
@@ -1,13 +1,9 @@
 package piece
 
 import (
-	"math/rand/v2"
 	"slices"
 	"sort"
 	"time"
-
-	"godwitplank"
-	"godwitplank/fault"
 )
 
 // maxFailures is how many times a piece may fail before its job does.
@@ -116,55 +112,6 @@
 	return !p.InputsHoldMemory && p.Due.Before(now.Add(p.predicted))
 }
 
-// Refusal of late jobs in a lasting overload.
-const (
-	// hopelessAfter is how long no late job of a priority was started until all of them are refused.
-	hopelessAfter = 3 * time.Second
-	// Callers are told to come back after a time between these two, so that they do not return together.
-	minOverloadRetry = 2 * time.Second
-	maxOverloadRetry = 3 * time.Second
-)
-
-// refuseHopeless ends the late jobs of the priorities of which none was started for hopelessAfter, since newer jobs take
-// all capacity. It answers a lasting overload: their callers learn at once that they are not served, and not when they
-// give up.
-func (q *queue) refuseHopeless(now time.Time) {
-	late := make(map[int][]*pendingJob)
-	for _, j := range q.jobs {
-		if !j.started && !j.ended && j.missesObjective(now) {
-			late[j.Priority] = append(late[j.Priority], j)
-		}
-	}
-	for priority := range q.passedOverSince {
-		if late[priority] == nil {
-			delete(q.passedOverSince, priority)
-		}
-	}
-	for priority, jobs := range late {
-		since, ok := q.passedOverSince[priority]
-		if !ok {
-			if q.passedOverSince == nil {
-				q.passedOverSince = make(map[int]time.Time)
-			}
-			q.passedOverSince[priority] = now
-			continue
-		}
-		if now.Sub(since) < hopelessAfter {
-			continue
-		}
-		for _, j := range jobs {
-			j.end(errOverloaded())
-		}
-	}
-}
-
-// errOverloaded returns the error of a job that is refused in an overload.
-func errOverloaded() error {
-	retryAfter := minOverloadRetry + rand.N(maxOverloadRetry-minOverloadRetry)
-	return fault.New(fault.StageFailed, "the endpoints of the stage's service are overloaded and newer requests go first; try again after the indicated delay").
-		WithOutcome(godwitplank.NotRun, retryAfter)
-}
-
 // spillShare is the fraction of the time to a job's objective that it waits for an endpoint in its own data
 // centre before one in another may run it.
 const spillShare = 0.35
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -52,9 +52,6 @@
 // latencyDivisor is the inverse of the weight of a new sample in the latency EWMA.
 const latencyDivisor = 5
 
-// paceDivisor is the inverse of the weight of a new sample in the pace EWMA.
-const paceDivisor = 3
-
 // Begin counts a call as in flight. It returns the call's expected slowdown, to be passed to Succeed.
 func (c *Candidate) Begin() (slowdown float64) {
 	slowdown = c.slowdown()
@@ -90,38 +87,6 @@
 	s.latency.Store(old + (int64(latency)-old)/latencyDivisor)
 }
 
-// ObservePace records the mean time between the events of a stream.
-func (s *Stats) ObservePace(now time.Time, pace time.Duration) {
-	s.pacedAt.Store(now.UnixNano())
-	old := s.pace.Load()
-	if old == 0 {
-		s.pace.Store(int64(pace))
-		return
-	}
-	s.pace.Store(old + (int64(pace)-old)/paceDivisor)
-}
-
-// OwnPace returns the EWMA of the time between the events of the streams that were observed here, 0 before the first one,
-// and when it last changed.
-func (s *Stats) OwnPace() (time.Duration, time.Time) {
-	return time.Duration(s.pace.Load()), time.Unix(0, s.pacedAt.Load())
-}
-
-// SetSharedPace stores the pace that all VMs together observed; 0 is ignored.
-func (s *Stats) SetSharedPace(pace time.Duration) {
-	if pace > 0 {
-		s.sharedPace.Store(int64(pace))
-	}
-}
-
-// Pace returns the time between the events of streams as all VMs observed it, or else as this one did; 0 if unknown.
-func (s *Stats) Pace() time.Duration {
-	if shared := s.sharedPace.Load(); shared > 0 {
-		return time.Duration(shared)
-	}
-	return time.Duration(s.pace.Load())
-}
-
 // Fail records a failed call and ejects the endpoint for a time that doubles with each consecutive failure. It returns
 // that time.
 func (s *Stats) Fail(now time.Time) time.Duration {
--- a/route/speed.go
+++ b/route/speed.go
@@ -11,6 +11,41 @@
 	maxSlowness = 4
 )
 
+// paceDivisor is the inverse of the weight of a new sample in the pace EWMA.
+const paceDivisor = 3
+
+// ObservePace records the mean time between the events of a stream.
+func (s *Stats) ObservePace(now time.Time, pace time.Duration) {
+	s.pacedAt.Store(now.UnixNano())
+	old := s.pace.Load()
+	if old == 0 {
+		s.pace.Store(int64(pace))
+		return
+	}
+	s.pace.Store(old + (int64(pace)-old)/paceDivisor)
+}
+
+// OwnPace returns the EWMA of the time between the events of the streams that were observed here, 0 before the first one,
+// and when it last changed.
+func (s *Stats) OwnPace() (time.Duration, time.Time) {
+	return time.Duration(s.pace.Load()), time.Unix(0, s.pacedAt.Load())
+}
+
+// SetSharedPace stores the pace that all VMs together observed; 0 is ignored.
+func (s *Stats) SetSharedPace(pace time.Duration) {
+	if pace > 0 {
+		s.sharedPace.Store(int64(pace))
+	}
+}
+
+// Pace returns the time between the events of streams as all VMs observed it, or else as this one did; 0 if unknown.
+func (s *Stats) Pace() time.Duration {
+	if shared := s.sharedPace.Load(); shared > 0 {
+		return time.Duration(shared)
+	}
+	return time.Duration(s.pace.Load())
+}
+
 // slowness compares engines by the pace of the streams that they answered: an engine with twice the median time between
 // events counts twice the work. It answers endpoints of unlike speeds, and those that are loaded by other VMs.
 type slowness struct {
