soak: show the operator's submissions when the versions do not match

TestPlannedChanges was red once with version 88 in force and 86 acknowledged; why 88 got no 200 could not be told. The check is as strict as before.

--- a/soak/operator_test.go
+++ b/soak/operator_test.go
@@ -65,6 +65,23 @@
 	mu sync.Mutex
 	// Versions; a version counts as acknowledged once any control VM answered its PUT with 200.
 	acknowledgedVersion, newestSent uint64
+	// submissions describes each submission and its result, to trace a version that was not acknowledged.
+	submissions []string
+}
+
+// recordSubmission adds the result of one submission.
+func (o *operator) recordSubmission(p *process, version uint64, started time.Time, result any) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.submissions = append(o.submissions, fmt.Sprintf("%s version %d to %s: %v after %v", started.Format(time.StampMilli), version, p.name, result, time.Since(started).Round(time.Millisecond)))
+}
+
+// lastSubmissions returns the results of the newest submissions.
+func (o *operator) lastSubmissions() []string {
+	const shown = 20
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.submissions[max(0, len(o.submissions)-shown):]
 }
 
 func newOperator(c *cluster, ch *checker) *operator {
@@ -92,10 +109,13 @@
 	if err != nil {
 		return false
 	}
+	started := time.Now()
 	resp, err := o.client.Do(req)
 	if err != nil {
+		o.recordSubmission(p, version, started, err)
 		return false
 	}
+	o.recordSubmission(p, version, started, resp.Status)
 	defer resp.Body.Close()
 	switch {
 	case resp.StatusCode == http.StatusOK:
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -172,7 +173,7 @@
 		}
 		for _, pattern := range patterns {
 			if !regexp.MustCompile(pattern).Match(body) {
-				t.Errorf("no match for %s in the metrics of %s:\n%s", pattern, p.name, body)
+				t.Errorf("no match for %s in the metrics of %s; last submissions:\n%s\n%s", pattern, p.name, strings.Join(h.operator.lastSubmissions(), "\n"), body)
 			}
 		}
 	}
