--- a/piece/dispatch.go
+++ b/piece/dispatch.go
@@ -30,7 +30,7 @@
 		q.expire(now)
 		q.sort(now)
 		d.dispatch(name, q)
-		q.refuseHopeless(now)
+		q.refusePassedOver(now)
 	}
 }
 
--- a/piece/overload.go
+++ b/piece/overload.go
@@ -10,17 +10,17 @@
 
 // Refusal of late jobs in a lasting overload.
 const (
-	// hopelessAfter is how long no late job of a priority was started until all of them are refused.
-	hopelessAfter = 3 * time.Second
+	// passedOverLimit is the time without a start of any late job of a priority after which all of them are refused.
+	passedOverLimit = 3 * time.Second
 	// Callers are told to come back after a time between these two, so that they do not return together.
 	minOverloadRetry = 2 * time.Second
 	maxOverloadRetry = 3 * time.Second
 )
 
-// refuseHopeless ends the late jobs of the priorities of which none was started for hopelessAfter, since newer jobs take
-// all capacity. It answers a lasting overload: their callers learn at once that they are not served, and not when they
-// give up.
-func (q *queue) refuseHopeless(now time.Time) {
+// refusePassedOver ends the late jobs of each priority of which none was started for passedOverLimit, since newer jobs take
+// all capacity. It answers a lasting overload: the callers learn that they are not served before they give up, and when to
+// come back.
+func (q *queue) refusePassedOver(now time.Time) {
 	late := make(map[int][]*pendingJob)
 	for _, j := range q.jobs {
 		if !j.started && !j.ended && j.missesObjective(now) {
@@ -41,7 +41,7 @@
 			q.passedOverSince[priority] = now
 			continue
 		}
-		if now.Sub(since) < hopelessAfter {
+		if now.Sub(since) < passedOverLimit {
 			continue
 		}
 		for _, j := range jobs {
--- a/piece/overload_test.go
+++ b/piece/overload_test.go
@@ -15,7 +15,7 @@
 )
 
 // overload plays requests of three stages, one after the other, at services that receive more work than they can do. It
-// runs on virtual time, with the queues and delays of the dispatcher.
+// runs on virtual time, with the queues of the dispatcher.
 type overload struct {
 	now      time.Time
 	events   timeline
@@ -169,7 +169,7 @@
 			o.queues[i].expire(o.now)
 			o.queues[i].sort(o.now)
 			o.dispatch(i)
-			o.queues[i].refuseHopeless(o.now)
+			o.queues[i].refusePassedOver(o.now)
 		}
 		if o.now.Before(started.Add(40 * time.Second)) {
 			o.after(dispatchInterval, tick)
--- a/route/speed_test.go
+++ b/route/speed_test.go
@@ -39,8 +39,8 @@
 )
 
 // playEngines sends prompts of sessions through several VMs, each with its own knowledge, to engines of three speeds. It
-// returns the time within which nine of ten requests got their first event, after the caches were filled. If learn is false, the VMs do not know the
-// engines' pace.
+// returns the time within which nine of ten requests got their first event, after the caches were filled. If learn is
+// false, the VMs do not know the engines' pace.
 func playEngines(seed uint64, learn bool) time.Duration {
 	rng := rand.New(rand.NewPCG(seed, 2))
 	var engines []*simulatedEngine
