--- a/setting/number.go
+++ b/setting/number.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// Ranges of settings. Values outside are replaced by the nearest one inside, with a warning, so that the VM starts.
+// Ranges of settings. Values outside are replaced by the nearest one inside, so that the VM starts.
 const (
 	maxCount       = math.MaxInt32
 	maxDuration    = 365 * 24 * time.Hour
