--- a/connection/conn.go
+++ b/connection/conn.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -159,6 +160,17 @@
 	return 0
 }
 
+// ClosedByEndpoint reports whether err, from Send, Receive or a response body, means that the endpoint closed or reset the
+// connection before its response was complete. It is false if this VM closed it or gave up.
+func ClosedByEndpoint(err error) bool {
+	for _, closed := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, closed) {
+			return true
+		}
+	}
+	return false
+}
+
 // ReadBody reads a complete response body. It returns an error if the body exceeds limit bytes.
 func ReadBody(r *http.Response, limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"godwitplank"
@@ -313,7 +315,7 @@
 	body, err := connection.ReadBody(r, maxResponseBytes)
 	if err != nil {
 		a.conn.Close()
-		return outcome{err: errTruncated, mayHaveRun: !header.NotRun}
+		return outcome{err: truncated(err), mayHaveRun: !header.NotRun}
 	}
 	a.conn.Release(r)
 	switch {
@@ -336,6 +338,11 @@
 	return outcome{mayHaveRun: true}
 }
 
+// truncated returns an error that wraps errTruncated and the cause.
+func truncated(cause error) error {
+	return fmt.Errorf("%w: %w", errTruncated, cause)
+}
+
 // claimsNotRun reports whether a status usually means that the request was not run. Such a response is not
 // forwarded without the endpoint's own guarantee, since the caller might send a non-idempotent request again.
 func claimsNotRun(status int) bool {
@@ -386,6 +393,18 @@
 	g.Meter.RecordAttempt(x.service.Name, "request", result, elapsed)
 	if o.err != nil {
 		g.Log.Log(event.AttemptFailed, "request_id", x.ID, "endpoint", a.candidate.ID, "error", o.err.Error(), "sent", o.mayHaveRun,
-			"not_run", errors.Is(o.err, errNotRun), "took_ms", elapsed.Milliseconds(), "shed_ms", ejection.Milliseconds())
+			"not_run", errors.Is(o.err, errNotRun), "closed_by_endpoint", connection.ClosedByEndpoint(o.err), "parts", sharedParts(x.Prefix), "took_ms", elapsed.Milliseconds(), "shed_ms", ejection.Milliseconds())
+	}
+}
+
+// maxLoggedParts bounds the prompt parts in a log line.
+const maxLoggedParts = 16
+
+// sharedParts returns the IDs of the prompt parts that other requests may share, separated by commas.
+func sharedParts(parts []route.PromptPart) string {
+	var ids []string
+	for _, p := range parts[:max(0, len(parts)-1)] {
+		ids = append(ids, p.ID)
 	}
+	return strings.Join(ids[:min(len(ids), maxLoggedParts)], ",")
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -75,7 +75,7 @@
 		}
 		if err != nil {
 			a.conn.Close()
-			return outcome{err: errTruncated, mayHaveRun: true}
+			return outcome{err: truncated(err), mayHaveRun: true}
 		}
 		if x.firstByteAt.IsZero() {
 			g.startResponse(x, r)
