crash, control, gateway: keep prompt parts that crash endpoints from further endpoints

Cause: health was kept by endpoint only. Nothing linked the crashes of different endpoints to what they had run, so each VM sent the next prompt with the same part to the next endpoint, and repeated the broken ones. Class: work that kills its worker.

The fix: a VM records the runs that an endpoint ended by closing the connection, with the shared parts of their prompts, and the last completed run with each part. Runs go to the hubs with the exchange; hubs name suspects, VMs report their completed runs with these. Parts under which three endpoints crashed, with two prompts or more and no completed run since, are quarantined everywhere: a prompt that has them gets 503, not run, before its stages begin. What only stood beside the cause is not condemned: completed runs clear a part, crashes that a quarantine explains count for no other, and parts that were only seen together are excluded only together.

--- a/control/control.go
+++ b/control/control.go
@@ -13,6 +13,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"godwitplank/crash"
 	"godwitplank/disk"
 	"godwitplank/document"
 	"godwitplank/endpoint"
@@ -76,6 +77,8 @@
 	Tally *spend.Tally
 	// Meter measures the durations of commits and disk syncs; nil measures nothing.
 	Meter *telemetry.Meter
+	// Crashes finds the prompts that crash endpoints; Init sets it if it is nil.
+	Crashes *crash.Tracker
 	// Pieces dispatches pieces for other VMs; nil on a VM that accepts no callers' requests.
 	Pieces PieceServer
 	Log    event.Logger
@@ -127,6 +130,10 @@
 	c.done = make(chan struct{})
 	c.stats = make(map[statsKey]*route.Stats)
 	c.peers = make(map[netip.AddrPort]*peer)
+	if c.Crashes == nil {
+		c.Crashes = &crash.Tracker{}
+	}
+	c.Crashes.OnQuarantine = c.logQuarantine
 	c.start = c.Clock.Now()
 	c.lastExpiry = c.start
 	c.view.Store(&View{})
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -57,13 +57,20 @@
 // runExchange runs one state exchange between two VMs without a network.
 func runExchange(from, to *Control, p *peer) *link.ExchangeReply {
 	sentAt := from.Clock.Now()
-	reply := to.buildExchangeReply(&link.ExchangeRequest{
+	reply := to.buildExchangeReply(newExchangeRequest(from, p))
+	p.crashesSentAt = sentAt
+	from.handleExchangeReply(p, sentAt, reply)
+	return reply
+}
+
+func newExchangeRequest(from *Control, p *peer) *link.ExchangeRequest {
+	request := &link.ExchangeRequest{
 		Sender: from.describeSelf(), ReceiverIncarnation: p.synced.incarnation,
 		SpendSince: p.synced.spend, EndpointsSince: p.synced.endpoints, RenewalsSince: p.synced.renewals, OthersSince: p.synced.others,
 		Paces: from.pacesSince(p.pacesSentAt),
-	})
-	from.handleExchangeReply(p, sentAt, reply)
-	return reply
+	}
+	from.addCrashEvidence(from.Clock.Now(), p, request)
+	return request
 }
 
 // Replies carry an endpoint's full announcement once and renewals after that. They carry the full announcement again if
--- a/control/peer.go
+++ b/control/peer.go
@@ -73,7 +73,9 @@
 	sentSpendRevision uint64
 	// pacesSentAt is when this VM last sent the paces that it observed.
 	pacesSentAt time.Time
-	lastReplyAt time.Time
+	// crashesSentAt is when this VM last sent the crashed runs that it observed; zero if the peer has restarted since.
+	crashesSentAt time.Time
+	lastReplyAt   time.Time
 	// synced holds the revisions up to which the peer's state was received.
 	synced              syncRevisions
 	fullListRequestedAt time.Time
@@ -238,6 +240,7 @@
 		}
 		request.Spend, sentRevision = c.localSpendSince(p.sentSpendRevision)
 		request.Paces = c.pacesSince(p.pacesSentAt)
+		c.addCrashEvidence(c.Clock.Now(), p, request)
 	}) != nil {
 		return pause
 	}
@@ -254,6 +257,7 @@
 	newer := false
 	err = c.do(ctx, func() {
 		pause = c.pauseBetweenExchanges(sentAt, p)
+		p.crashesSentAt = sentAt
 		c.handleExchangeReply(p, sentAt, reply)
 		p.sentSpendRevision, p.pacesSentAt = sentRevision, sentAt
 		newer = reply.Sender.GetDocumentVersion() > c.storedDocument.GetVersion()
@@ -296,6 +300,11 @@
 	c.mergeRelayedEndpoints(sentAt, r.Endpoints)
 	c.updateKnownGroup(r.Group)
 	c.mergeSpend(r.Spend)
+	c.Crashes.Watch(now, r.SuspectParts)
+	c.Crashes.Adopt(now, decodeQuarantines(sentAt, r.Quarantines))
+	if p.synced.incarnation != r.Sender.GetIncarnation() {
+		p.crashesSentAt = time.Time{}
+	}
 	p.synced = syncRevisions{r.Sender.GetIncarnation(), r.SpendRevision, r.EndpointsRevision, r.RenewalsRevision, r.OthersRevision}
 	if !c.applyRenewals(sentAt, r.Renewals) {
 		p.synced.endpoints = 0
--- a/control/server.go
+++ b/control/server.go
@@ -35,6 +35,7 @@
 	}
 	c.mergeSpend(r.Spend)
 	c.mergePaces(r.Paces)
+	c.mergeCrashEvidence(now, r)
 	since := syncRevisions{c.Incarnation, r.SpendSince, r.EndpointsSince, r.RenewalsSince, r.OthersSince}
 	if r.ReceiverIncarnation != c.Incarnation {
 		since = syncRevisions{}
@@ -45,6 +46,8 @@
 	}
 	c.addEndpointChanges(now, since, reply)
 	c.addSpendChanges(since.spend, reply)
+	reply.SuspectParts = c.Crashes.Suspects(now)
+	reply.Quarantines = encodeQuarantines(now, c.Crashes.Quarantines(now))
 	reply.Group = withoutPositions(c.currentGroup())
 	return reply
 }
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -70,7 +70,7 @@
 		gateway: &gateway.Gateway{
 			DataCentre: s.DataCentre, Views: c, Protocol: platform.RequestProtocol{}, Pieces: broker, ResultAddr: platform.PieceProtocol{}.HolderAddr,
 			Policy:   route.Policies[s.Policy](),
-			Prefixes: &route.PrefixIndex{}, Reach: reachability, Budget: budget, Pool: pool, Clock: timer.System, Meter: meter, Log: log,
+			Prefixes: &route.PrefixIndex{}, Reach: reachability, Crashes: c.Crashes, Budget: budget, Pool: pool, Clock: timer.System, Meter: meter, Log: log,
 		},
 	}
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -41,6 +41,8 @@
 	DispatcherFailed      = Event{511, log.WarnLevel, "piece dispatch by another VM failed", "request_id, service, peer, error", "check whether the VM or the link to it failed"}
 	RequestAccepted       = Event{512, log.DebugLevel, "request accepted", "request_id, route, workspace, document_version, left_ms", "nothing"}
 	RetryRefused          = Event{513, log.WarnLevel, "request not sent again: the retry budget is spent", "request_id, service, attempts, budget_left, vms", "check event 506 for why the service's endpoints fail"}
+	PromptQuarantined     = Event{514, log.WarnLevel, "prompts quarantined: endpoints crashed while they ran", "parts, crashes, repeats, left_ms, decided_here", "find out why endpoints crash under these prompt parts (event 506 has the runs); callers get 503 until the quarantine ends"}
+	RequestQuarantined    = Event{515, log.WarnLevel, "request not sent: its prompt is quarantined", "request_id, parts, left_ms, attempts", "see event 514 of these parts"}
 	DocumentActivated     = Event{601, log.InfoLevel, "document activated", "document_version, digest", "nothing"}
 	DocumentRefused       = Event{602, log.InfoLevel, "document refused", "document_version, kind, message", "fix the document and submit it again"}
 )
@@ -52,6 +54,6 @@
 	VMAlive, VMLost, ConnectionReset,
 	EndpointAnnounced, EndpointDraining, EndpointLost, EndpointConflict, EndpointEjected,
 	RequestRefused, AnswerDropped, OutcomeUnknown,
-	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, BatchFinished, StageFinished, ResultNotReleased, DispatcherFailed, RequestAccepted, RetryRefused,
+	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, BatchFinished, StageFinished, ResultNotReleased, DispatcherFailed, RequestAccepted, RetryRefused, PromptQuarantined, RequestQuarantined,
 	DocumentActivated, DocumentRefused,
 }
--- a/explain/report.go
+++ b/explain/report.go
@@ -186,6 +186,9 @@
 	{event.RetryRefused.Number, func(l *Line) string {
 		return fmt.Sprintf("the retry budget of service %s is spent after %.0f attempts; it is shared by %.0f VMs", l.stringValue("service"), l.numberValue("attempts"), l.numberValue("vms"))
 	}},
+	{event.RequestQuarantined.Number, func(l *Line) string {
+		return fmt.Sprintf("the prompt has the parts %s, under which endpoints crashed; it is not sent to an endpoint for another %.0f ms", l.stringValue("parts"), l.numberValue("left_ms"))
+	}},
 	{event.RequestAnswered.Number, func(l *Line) string {
 		if l.stringValue("kind") == "" {
 			return ""
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -29,6 +29,7 @@
 	DeadlineTooShort   Kind = "deadline_too_short"
 	NoEndpoint         Kind = "no_endpoint"
 	StageFailed        Kind = "stage_failed"
+	PromptQuarantined  Kind = "prompt_quarantined"
 	NoDocument         Kind = "no_document"
 	NoQuorum           Kind = "no_quorum"
 	OrderVoided        Kind = "order_voided"
@@ -64,6 +65,7 @@
 	DeadlineTooShort:   http.StatusServiceUnavailable,
 	NoEndpoint:         http.StatusServiceUnavailable,
 	StageFailed:        http.StatusBadGateway,
+	PromptQuarantined:  http.StatusServiceUnavailable,
 	NoDocument:         http.StatusServiceUnavailable,
 	NoQuorum:           http.StatusServiceUnavailable,
 	OrderVoided:        http.StatusConflict,
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -67,6 +67,8 @@
 	err error
 	// mayHaveRun is true unless it is certain that the endpoint did not run the request.
 	mayHaveRun bool
+	// unframed is true for a response that ended with its connection, so that a crash of the endpoint looks the same.
+	unframed bool
 	// response is the endpoint's 5xx response. It goes to the caller if no other attempt succeeds.
 	response *bufferedResponse
 }
@@ -84,6 +86,13 @@
 	var last outcome
 	stagesRerun := false
 	for x.attempts < maxAttempts {
+		if q := g.findQuarantine(x); q != nil {
+			refusal := g.refuseQuarantined(x, q)
+			if x.attempts == 0 {
+				return refusal
+			}
+			break
+		}
 		if x.delivered > 0 && !g.allowRetry(x) {
 			break
 		}
@@ -335,7 +344,12 @@
 		return outcome{mayHaveRun: true, response: response}
 	}
 	g.writeResponse(x, response)
-	return outcome{mayHaveRun: true}
+	return outcome{mayHaveRun: true, unframed: endsWithConnection(r)}
+}
+
+// endsWithConnection reports whether a response has neither a length nor chunks.
+func endsWithConnection(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
 }
 
 // truncated returns an error that wraps errTruncated and the cause.
@@ -390,21 +404,10 @@
 	if x.service.Engine != nil && o.err == nil {
 		g.Prefixes.Record(a.candidate, x.Prefix, x.service.Engine.CacheTokens, now)
 	}
+	g.recordCrashEvidence(ctx, x, a, o)
 	g.Meter.RecordAttempt(x.service.Name, "request", result, elapsed)
 	if o.err != nil {
 		g.Log.Log(event.AttemptFailed, "request_id", x.ID, "endpoint", a.candidate.ID, "error", o.err.Error(), "sent", o.mayHaveRun,
-			"not_run", errors.Is(o.err, errNotRun), "closed_by_endpoint", connection.ClosedByEndpoint(o.err), "parts", sharedParts(x.Prefix), "took_ms", elapsed.Milliseconds(), "shed_ms", ejection.Milliseconds())
-	}
-}
-
-// maxLoggedParts bounds the prompt parts in a log line.
-const maxLoggedParts = 16
-
-// sharedParts returns the IDs of the prompt parts that other requests may share, separated by commas.
-func sharedParts(parts []route.PromptPart) string {
-	var ids []string
-	for _, p := range parts[:max(0, len(parts)-1)] {
-		ids = append(ids, p.ID)
+			"not_run", errors.Is(o.err, errNotRun), "closed_by_endpoint", connection.ClosedByEndpoint(o.err), "parts", strings.Join(sharedParts(x.Prefix), ","), "took_ms", elapsed.Milliseconds(), "shed_ms", ejection.Milliseconds())
 	}
-	return strings.Join(ids[:min(len(ids), maxLoggedParts)], ",")
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"godwitplank"
 	"godwitplank/connection"
 	"godwitplank/control"
+	"godwitplank/crash"
 	"godwitplank/document"
 	"godwitplank/entry"
 	"godwitplank/event"
@@ -38,6 +39,7 @@
 	Policy     route.Policy
 	Prefixes   *route.PrefixIndex
 	Reach      *route.Reachability
+	Crashes    *crash.Tracker
 	Budget     *retry.Budget
 	Pool       *connection.Pool
 	Clock      timer.Clock
@@ -178,6 +180,9 @@
 func (g *Gateway) serve(ctx context.Context, x *exchange) error {
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
+	if q := g.findQuarantine(x); q != nil {
+		return g.refuseQuarantined(x, q)
+	}
 	if err := g.runStages(ctx, x); err != nil {
 		return err
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -71,7 +71,7 @@
 			if x.firstByteAt.IsZero() {
 				g.startResponse(x, r)
 			}
-			return outcome{mayHaveRun: true}
+			return outcome{mayHaveRun: true, unframed: endsWithConnection(r)}
 		}
 		if err != nil {
 			a.conn.Close()
