crash: let only VMs with all evidence decide, and wait for reports of completed runs

Cause: an entry VM decided by its own runs alone. It didn't know that the endpoints crashed under prompts of other VMs, and long runs of the popular part had not been completed since. A hub would have decided before the VMs could report their completed runs.

Fix: in a system with hubs only these decide; a decision waits until 1.5 s after the first crash was learned of; a run that has written for a second counts as completed. Tests: TestPopularPartBesideTheCause, TestFollowerDoesNotDecide (each fails on the code before).

--- a/control/control.go
+++ b/control/control.go
@@ -134,6 +134,7 @@
 		c.Crashes = &crash.Tracker{}
 	}
 	c.Crashes.OnQuarantine = c.logQuarantine
+	c.Crashes.Follower = c.HubsOnly && c.Folder == nil
 	c.start = c.Clock.Now()
 	c.lastExpiry = c.start
 	c.view.Store(&View{})
--- a/crash/crash.go
+++ b/crash/crash.go
@@ -43,6 +43,8 @@
 	// minPrompts different prompts have to have the part: one request that is sent again and again condemns nothing but
 	// itself.
 	minPrompts = 2
+	// reportTime has to pass after the first crash was learned of, so that other VMs can report completed runs with the part.
+	reportTime = 1500 * time.Millisecond
 	// runRetention and survivalRetention are how long broken and completed runs are remembered.
 	runRetention      = 5 * time.Minute
 	survivalRetention = 30 * time.Second
--- a/crash/evaluate.go
+++ b/crash/evaluate.go
@@ -11,6 +11,8 @@
 	// crashedAt has the first time at which a run with the part ended at each endpoint.
 	crashedAt map[Endpoint]time.Time
 	prompts   map[uint64]bool
+	// learnedAt is when this VM learned of the first of the crashes.
+	learnedAt time.Time
 	// common are the parts that all broken runs with the part have and that were in no completed run since.
 	common []string
 }
@@ -22,6 +24,9 @@
 	}
 	t.dirty, t.evaluatedAt = false, now
 	t.quarantines = slices.DeleteFunc(t.quarantines, func(q Quarantine) bool { return now.Sub(q.Until) > probationPeriod })
+	if t.Follower {
+		return
+	}
 	t.renew(now)
 	t.reduce(now)
 	for range maxQuarantines {
@@ -45,6 +50,10 @@
 		if len(s.prompts) < minPrompts || s.episodes() < minCrashes || n < most {
 			continue
 		}
+		if now.Sub(s.learnedAt) < reportTime {
+			t.dirty = true
+			continue
+		}
 		if n > most {
 			strongest, most = nil, n
 		}
@@ -79,10 +88,13 @@
 		for _, part := range unsurvived {
 			s := byPart[part]
 			if s == nil {
-				s = &suspect{part: part, crashedAt: make(map[Endpoint]time.Time), prompts: make(map[uint64]bool), common: unsurvived}
+				s = &suspect{part: part, crashedAt: make(map[Endpoint]time.Time), prompts: make(map[uint64]bool), learnedAt: r.learnedAt, common: unsurvived}
 				byPart[part] = s
 				out = append(out, s)
 			}
+			if r.learnedAt.Before(s.learnedAt) {
+				s.learnedAt = r.learnedAt
+			}
 			if at, ok := s.crashedAt[r.Endpoint]; !ok || r.At.Before(at) {
 				s.crashedAt[r.Endpoint] = r.At
 			}
--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -9,8 +9,11 @@
 )
 
 // Tracker collects evidence and decides which prompts are quarantined. The zero value is ready to use. Set the exported
-// field before use. Its methods are safe for concurrent use.
+// fields before use. Its methods are safe for concurrent use.
 type Tracker struct {
+	// Follower is true on a VM that does not get the evidence of all others. It adopts quarantines and decides none: the
+	// cause of a crash may have run at another VM.
+	Follower bool
 	// OnQuarantine, if set, is called for each new quarantine, with local false if another VM decided it.
 	OnQuarantine func(q Quarantine, local bool)
 
@@ -51,7 +54,11 @@
 	t.addRun(r.At, r, true)
 }
 
-// RecordSurvival records a completed run of this VM.
+// SurvivedAfter is how long a run has to write its answer to count as completed. Prompts that crash endpoints do so when these
+// begin to write.
+const SurvivedAfter = time.Second
+
+// RecordSurvival records a run of this VM that was completed or has written for SurvivedAfter.
 func (t *Tracker) RecordSurvival(now time.Time, parts []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/crash/tracker_test.go
+++ b/crash/tracker_test.go
@@ -207,3 +207,37 @@
 	is.Equal(len(quarantines), maxQuarantines)
 	is.True(!quarantines[0].Until.After(s.now.Add(maxDuration)))
 }
+
+// Endpoints crash in quick succession, and other VMs report only later that they have completed runs with a popular part that
+// stood beside the cause each time.
+func TestPopularPartBesideTheCause(t *testing.T) {
+	is := is.New(t)
+	s := &scene{now: start}
+	for range minCrashes {
+		s.crash([]string{"first", "dead"}, []string{"popular", "other"})
+		s.pass(-500 * time.Millisecond)
+	}
+	s.pass(-200 * time.Millisecond)
+	is.True(!s.excluded("popular", "other"))
+	s.tracker.Merge(s.now, nil, map[string]time.Time{"popular": s.now, "other": s.now, "first": s.now})
+	s.pass(time.Second)
+	is.True(s.excluded("dead"))
+	is.True(!s.excluded("popular", "other"))
+	is.True(!s.excluded("first"))
+}
+
+// A VM that does not know under which prompts of other VMs the endpoints crashed decides nothing: all of its own runs may have
+// stood beside the cause.
+func TestFollowerDoesNotDecide(t *testing.T) {
+	is := is.New(t)
+	hub, follower := &scene{now: start}, &scene{now: start}
+	follower.tracker.Follower = true
+	for range minCrashes {
+		hub.crash([]string{"dead"})
+		follower.crash([]string{"victim"})
+		hub.tracker.Merge(hub.now, follower.tracker.LocalRunsSince(time.Time{}), nil)
+	}
+	is.True(!follower.excluded("victim"))
+	follower.tracker.Adopt(follower.now, hub.tracker.Quarantines(hub.now))
+	is.True(follower.excluded("dead"))
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"godwitplank/crash"
 	"godwitplank/route"
 	"godwitplank/timer"
 )
@@ -60,6 +61,7 @@
 	flusher := http.NewResponseController(x.w)
 	pace := paceMeter{clock: g.Clock}
 	defer func() { pace.report(a.candidate.Stats) }()
+	survived := false
 	gapTimeout := gapTimeoutFactor * time.Duration(x.route.TargetGapMS) * time.Millisecond
 	for {
 		e, err := readEvent(reader)
@@ -83,7 +85,10 @@
 		} else if alreadySent(x.LastEventID, e.id) {
 			continue
 		}
-		pace.event()
+		if pace.event(); !survived && pace.last.Sub(pace.first) >= crash.SurvivedAfter {
+			survived = true
+			g.Crashes.RecordSurvival(pace.last, sharedParts(x.Prefix))
+		}
 		if e.id != "" {
 			x.LastEventID = e.id
 		}
