crash: condemn no part that only stood beside the cause

Three causes, each with a test that fails on the code before: of parts with the same crashes the less specific one was taken (TestSubjectOfDeadlyPromptsIsNotExcluded); a weaker suspect was condemned while the strongest still had to wait for reports (TestWaitsForTheStrongestSuspect); endpoints that fail at the same moment counted against each part that ran at one of them (TestCommonFailureIsNotAPrompt).

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -40,6 +40,9 @@
 	// hit several endpoints at once.
 	minCrashes  = 3
 	minInterval = 500 * time.Millisecond
+	// commonCauseWindow is the time within which crashes of several endpoints count as one failure, which speaks only against
+	// parts that ran at all of them.
+	commonCauseWindow = 100 * time.Millisecond
 	// minPrompts different prompts have to have the part: one request that is sent again and again condemns nothing but
 	// itself.
 	minPrompts = 2
--- a/crash/evaluate.go
+++ b/crash/evaluate.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -41,17 +42,19 @@
 }
 
 // newQuarantines returns the quarantines that follow from the parts with the most crashes, none if there is not enough evidence
-// against any. Parts with the same number of crashes are all held to be causes.
+// against any. Parts with the same number of crashes are all held to be causes, except for those that the others always
+// have beside them: these explain the same crashes and exclude less.
 func (t *Tracker) newQuarantines(now time.Time) []Quarantine {
 	var strongest []*suspect
 	most := 0
-	for _, s := range t.suspects() {
-		n := len(s.crashedAt)
-		if len(s.prompts) < minPrompts || s.episodes() < minCrashes || n < most {
+	suspects, crashes := t.suspects()
+	for _, s := range suspects {
+		if len(s.crashedAt) < max(most, minCrashes) || len(s.prompts) < minPrompts {
 			continue
 		}
-		if now.Sub(s.learnedAt) < reportTime {
-			t.dirty = true
+		s.dropCommonCauses(crashes)
+		n := len(s.crashedAt)
+		if n < most || s.episodes() < minCrashes {
 			continue
 		}
 		if n > most {
@@ -61,29 +64,37 @@
 	}
 	var out []Quarantine
 	for _, s := range strongest {
+		if now.Sub(s.learnedAt) < reportTime {
+			t.dirty = true // to be evaluated again without new evidence
+			return nil
+		}
 		q := Quarantine{Parts: s.common, Until: now.Add(firstDuration), Crashes: most}
-		if !slices.ContainsFunc(out, func(o Quarantine) bool { return slices.Equal(o.Parts, q.Parts) }) {
-			out = append(out, q)
+		if slices.ContainsFunc(out, func(o Quarantine) bool { return containsAll(o.Parts, q.Parts) }) {
+			continue
 		}
+		out = slices.DeleteFunc(out, func(o Quarantine) bool { return containsAll(q.Parts, o.Parts) })
+		out = append(out, q)
 	}
 	return out
 }
 
-// suspects returns the parts of broken runs that were not completed since. Crashes under a quarantined prompt, in force or on
-// probation, count for no other part.
-func (t *Tracker) suspects() []*suspect {
+// suspects returns the parts of broken runs that were not completed since, and all crashes in time order. Crashes under a
+// quarantined prompt, in force or on probation, are left out: they count for no other part.
+func (t *Tracker) suspects() ([]*suspect, []endpointCrash) {
 	explained := make(map[Endpoint]bool)
 	for _, r := range t.runs {
 		if slices.ContainsFunc(t.quarantines, func(q Quarantine) bool { return containsAll(r.Parts, q.Parts) }) {
 			explained[r.Endpoint] = true
 		}
 	}
+	crashedAt := make(map[Endpoint]time.Time)
 	byPart := make(map[string]*suspect)
 	var out []*suspect
 	for _, r := range t.runs {
 		if explained[r.Endpoint] {
 			continue
 		}
+		recordFirst(crashedAt, r)
 		unsurvived := slices.DeleteFunc(slices.Clone(r.Parts), func(part string) bool { return !r.At.After(t.survivals[part]) })
 		for _, part := range unsurvived {
 			s := byPart[part]
@@ -95,14 +106,46 @@
 			if r.learnedAt.Before(s.learnedAt) {
 				s.learnedAt = r.learnedAt
 			}
-			if at, ok := s.crashedAt[r.Endpoint]; !ok || r.At.Before(at) {
-				s.crashedAt[r.Endpoint] = r.At
-			}
+			recordFirst(s.crashedAt, r)
 			s.prompts[r.Prompt] = true
 			s.common = slices.DeleteFunc(slices.Clone(s.common), func(other string) bool { return !slices.Contains(unsurvived, other) })
 		}
 	}
-	return out
+	var crashes []endpointCrash
+	for e, at := range crashedAt {
+		crashes = append(crashes, endpointCrash{e, at})
+	}
+	slices.SortFunc(crashes, func(a, b endpointCrash) int { return a.at.Compare(b.at) })
+	return out, crashes
+}
+
+// endpointCrash is the crash of an endpoint.
+type endpointCrash struct {
+	endpoint Endpoint
+	at       time.Time
+}
+
+// recordFirst keeps the earliest time at which a run ended at its endpoint.
+func recordFirst(crashedAt map[Endpoint]time.Time, r trackedRun) {
+	if at, ok := crashedAt[r.Endpoint]; !ok || r.At.Before(at) {
+		crashedAt[r.Endpoint] = r.At
+	}
+}
+
+// dropCommonCauses drops the crashes beside which another endpoint crashed without a run with the part.
+func (s *suspect) dropCommonCauses(crashes []endpointCrash) {
+	ranAt := maps.Clone(s.crashedAt)
+	for e, at := range ranAt {
+		from, _ := slices.BinarySearchFunc(crashes, at.Add(-commonCauseWindow), func(c endpointCrash, t time.Time) int { return c.at.Compare(t) })
+		for _, c := range crashes[from:] {
+			if c.at.Sub(at) > commonCauseWindow {
+				break
+			}
+			if _, ok := ranAt[c.endpoint]; !ok {
+				delete(s.crashedAt, e)
+			}
+		}
+	}
 }
 
 // episodes returns the number of crashes, of which those within minInterval count as one.
--- a/crash/tracker_test.go
+++ b/crash/tracker_test.go
@@ -75,6 +75,18 @@
 	is.Equal(len(s.tracker.Quarantines(s.now)), 1)
 }
 
+// All prompts with the deadly part are about one subject, and a sound one about that subject stood beside one of them.
+func TestSubjectOfDeadlyPromptsIsNotExcluded(t *testing.T) {
+	is := is.New(t)
+	s := &scene{now: start}
+	for range minCrashes {
+		s.crash([]string{"first", "subject", "dead"}, []string{"first", "subject"})
+		s.survive("first")
+	}
+	is.True(s.excluded("first", "subject", "dead"))
+	is.True(!s.excluded("first", "subject"))
+}
+
 func TestSoundPartsAreNotExcluded(t *testing.T) {
 	for name, play := range map[string]func(s *scene){
 		"completed in between": func(s *scene) {
@@ -226,6 +238,42 @@
 	is.True(!s.excluded("first"))
 }
 
+// A popular part whose long runs end at each crash is suspected before the deadly part is, which has more crashes.
+func TestWaitsForTheStrongestSuspect(t *testing.T) {
+	is := is.New(t)
+	s := &scene{now: start}
+	at := func(ms time.Duration, prompts ...[]string) {
+		s.now = start.Add(ms * time.Millisecond)
+		s.crash(prompts...)
+	}
+	dead, long := []string{"dead"}, []string{"long"}
+	at(0, long)
+	at(500, dead, long)
+	at(800, dead)
+	at(1000, dead, long)
+	at(1300, dead)
+	at(1550, dead)
+	s.now = start.Add(1600 * time.Millisecond)
+	is.True(!s.excluded("long"))
+	s.now = start.Add(2100 * time.Millisecond)
+	is.True(s.excluded("dead"))
+	is.True(!s.excluded("long"))
+}
+
+// Several endpoints fail at the same moment, again and again, and one prompt part is at one of them each time.
+func TestCommonFailureIsNotAPrompt(t *testing.T) {
+	is := is.New(t)
+	s := &scene{now: start}
+	for range 2 * minCrashes {
+		for i := range 3 {
+			s.crash([]string{fmt.Sprint("other-", s.crashes)}, []string{"rare"}[:max(0, 1-i)])
+			s.pass(-time.Second + 5*time.Millisecond)
+		}
+		s.pass(time.Second)
+	}
+	is.True(!s.excluded("rare"))
+}
+
 // A VM that does not know under which prompts of other VMs the endpoints crashed decides nothing: all of its own runs may have
 // stood beside the cause.
 func TestFollowerDoesNotDecide(t *testing.T) {
