gateway: use no connection again after a refusal, and trust none without an id on a kept one

Reported by another operator, and possible here: a faulty endpoint writes an earlier refusal once more on a kept connection. A request that the endpoint runs was taken for refused: sent to a second endpoint (TWICE) where the refusal has no id, or answered 503 (REFUSED) where it has the id of the request itself, which is sent again after lost inputs were made again.

Cause: the id alone tied a refusal to its request. Now a connection is closed after a refusal, so that its copy reaches nobody, and a refusal without an id counts only on a new connection; otherwise the outcome is unknown (502).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -326,8 +326,15 @@
 		a.conn.Close()
 		return outcome{err: truncated(err), mayHaveRun: !header.NotRun}
 	}
-	a.conn.Release(r)
+	if header.NotRun {
+		// A faulty endpoint may write a refusal once more, which would be taken for the response to the next request.
+		a.conn.Close()
+	} else {
+		a.conn.Release(r)
+	}
 	switch {
+	case header.NotRun && header.RequestID == "" && a.conn.Reused:
+		return outcome{err: errUnconfirmedNotRun, mayHaveRun: true}
 	case header.InputsGone:
 		return outcome{err: errInputsGone}
 	case header.NotRun:
