piece: close a connection whose response cannot be that of its call

A copy of an earlier response on a kept connection gave a job the results of another one (MIXED); after a refusal or a response with too few results, the connection was used again and each later call on it got the response of the call before.

Now a result that is still held from an earlier call is an error, and a connection is used again only after a response that is right for its call. TestStaleResponseGivesNoResultsOfAnotherJob failed in all three cases before and passes.

--- a/piece/call.go
+++ b/piece/call.go
@@ -91,25 +91,47 @@
 
 // exchange sends items to an endpoint and decodes its response.
 func (d *Dispatcher) exchange(ctx context.Context, s *document.Service, c *route.Candidate, items []Item) (Response, error) {
-	r, body, err := d.roundTrip(ctx, s, c, d.Protocol.RunCall(c.ID, c.Addr.String(), items))
+	var response Response
+	err := d.roundTrip(ctx, s, c, d.Protocol.RunCall(c.ID, c.Addr.String(), items), func(r *http.Response, body []byte) (reusable bool, err error) {
+		if response, err = d.Protocol.DecodeRunResponse(r.StatusCode, r.Header, body); err == nil {
+			err = d.checkResults(response, len(items))
+		}
+		return err == nil && !response.NotRun, err
+	})
 	if err != nil {
 		return Response{}, err
 	}
-	response, err := d.Protocol.DecodeRunResponse(r.StatusCode, r.Header, body)
-	if err == nil && !response.NotRun && len(response.Results) != len(items) {
-		err = fmt.Errorf("the answer has %d results for %d pieces", len(response.Results), len(items))
+	return response, nil
+}
+
+// checkResults returns an error for a response that cannot be the one to a call with n items. The responses of stages have no
+// request id, and a faulty endpoint may write an earlier one again.
+func (d *Dispatcher) checkResults(response Response, n int) error {
+	if response.NotRun {
+		return nil
+	}
+	if len(response.Results) != n {
+		return fmt.Errorf("the answer has %d results for %d pieces", len(response.Results), n)
 	}
-	return response, err
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range response.Results {
+		if r.Handle != "" && d.held[r.Handle] != nil {
+			return fmt.Errorf("the answer has the result %q of an earlier call; check the endpoint", r.Handle)
+		}
+	}
+	return nil
 }
 
-// roundTrip sends a call and reads the whole response.
-func (d *Dispatcher) roundTrip(ctx context.Context, s *document.Service, c *route.Candidate, call *connection.Call) (*http.Response, []byte, error) {
+// roundTrip sends a call, reads the whole response and passes it to handle. The connection is closed unless handle reports that
+// it is reusable: after a refusal or a wrong response, the next bytes on it may belong to an earlier call.
+func (d *Dispatcher) roundTrip(ctx context.Context, s *document.Service, c *route.Candidate, call *connection.Call, handle func(r *http.Response, body []byte) (reusable bool, err error)) error {
 	conn, err := d.Pool.Open(ctx, endpointKey(c), c.Addr, s.MaxConnections)
 	if err != nil {
 		if connection.IsDialTimeout(err) {
 			d.Reach.RecordTimeout(d.Clock.Now(), c.DataCentre)
 		}
-		return nil, nil, &unsentError{err}
+		return &unsentError{err}
 	}
 	var r *http.Response
 	var body []byte
@@ -121,11 +143,16 @@
 	}
 	if err != nil {
 		conn.Close()
-		return nil, nil, err
+		return err
 	}
-	conn.Release(r)
 	d.Reach.RecordResponse(c.DataCentre)
-	return r, body, nil
+	reusable, err := handle(r, body)
+	if reusable {
+		conn.Release(r)
+	} else {
+		conn.Close()
+	}
+	return err
 }
 
 // unsentError is a failure to get a connection. Nothing was sent, so no endpoint has counted the call as an attempt.
--- a/piece/held.go
+++ b/piece/held.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -95,7 +96,9 @@
 func (d *Dispatcher) sendFrees(ctx context.Context, s *document.Service, c *route.Candidate, handles []string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeoutMargin)
 	defer cancel()
-	_, _, err := d.roundTrip(ctx, s, c, d.Protocol.FreeCall(c.ID, c.Addr.String(), handles))
+	err := d.roundTrip(ctx, s, c, d.Protocol.FreeCall(c.ID, c.Addr.String(), handles), func(r *http.Response, _ []byte) (bool, error) {
+		return r.StatusCode == http.StatusOK, nil
+	})
 	if err != nil {
 		d.Log.Log(event.ResultNotReleased, "handle", handles[0], "error", err.Error())
 		return
