gateway: relay only event streams as streams

Reported by another operator, and possible here: a stream had begun and broke off, and the next endpoint answered its resume with a success that is no stream. Its text went into the caller's stream (MIXED), or, without a body, the stream ended as if it were complete (ORDER).

Cause: each sealed 2xx on a streaming route was read as events. Now only 200 with the media type of a stream is; after the first event any other answer counts as a failed resume.

Also checked, no fault found: streams with neither length nor chunks (ended between and inside events), the stream of the own interface (an error event or status never becomes a token; a stream without its last event is broken).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -318,7 +318,7 @@
 // returned in the outcome instead, so that another endpoint can be tried first.
 func (g *Gateway) handleResponse(x *exchange, a *attempt, r *http.Response, header ResponseHeader) outcome {
 	success := r.StatusCode >= 200 && r.StatusCode < 300
-	if success && header.Sealed && x.route.Kind == document.Stream {
+	if success && header.Sealed && x.route.Kind == document.Stream && isEventStream(r) {
 		return g.forwardStream(x, a, r)
 	}
 	body, err := connection.ReadBody(r, maxResponseBytes)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -54,6 +55,13 @@
 	}
 }
 
+// isEventStream reports whether a response is a stream of events. Another success may hold an error text, which must not go into a
+// stream that has begun.
+func isEventStream(r *http.Response) bool {
+	mediaType, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	return err == nil && r.StatusCode == http.StatusOK && mediaType == "text/event-stream"
+}
+
 // forwardStream relays the events of a stream and flushes each. After a resume it skips events that the caller already
 // received.
 func (g *Gateway) forwardStream(x *exchange, a *attempt, r *http.Response) outcome {
