endpoint, control: refuse odd announcements where they arrive

Reported by another operator, and possible here: one odd entry among those of the endpoints stopped others from following the list. An id that is not UTF-8 (from the path of an announcement) made each exchange reply with its renewal fail to encode, for all VMs that ask that hub (a trial: "string field contains invalid UTF-8"). An id with a line break went as it is into the header of calls; port 0, the largest incarnation (which makes all later announcements stale), an id of 100 KB and lists of 4 MB were accepted and relayed.

Cause: only the address and the presence of names were checked, and relayed entries less than that. endpoint.Check is now applied to announcements from endpoints and from other VMs, with bounds for all fields, and an announcement has at most 64 KiB.

--- a/control/announce.go
+++ b/control/announce.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net/netip"
 	"time"
 
 	"godwitplank"
@@ -16,9 +15,9 @@
 // Announce handles an announcement that an endpoint sent to this VM. It returns the endpoint's lease, or an error of
 // kind BadRequest, NoDocument, WrongToken or EndpointConflict.
 func (c *Control) Announce(ctx context.Context, a godwitplank.Announcement, tokenSHA256 string) (godwitplank.Lease, error) {
-	addr, err := netip.ParseAddrPort(a.Address)
-	if err != nil || a.EndpointID == "" || a.Pool == "" {
-		return godwitplank.Lease{}, fault.New(fault.BadRequest, "the announcement needs endpoint_id, pool and an address as ip:port; send all three")
+	addr, err := endpoint.Check(&a)
+	if err != nil {
+		return godwitplank.Lease{}, fault.New(fault.BadRequest, "the announcement is refused: %v; send a correct one", err)
 	}
 	e := endpoint.Entry{Announcement: a, TokenSHA256: tokenSHA256, Addr: addr, Source: endpoint.Direct}
 	var lease godwitplank.Lease
@@ -100,7 +99,7 @@
 		if json.Unmarshal(r.Announcement, &e.Announcement) != nil {
 			continue
 		}
-		addr, err := netip.ParseAddrPort(e.Address)
+		addr, err := endpoint.Check(&e.Announcement)
 		if err != nil {
 			continue
 		}
--- a/control/register.go
+++ b/control/register.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"godwitplank"
@@ -24,9 +23,9 @@
 // Register handles the announcement of an endpoint of a service. A service admits every endpoint that names it. Errors
 // are of kind BadRequest or EndpointConflict.
 func (c *Control) Register(ctx context.Context, a godwitplank.Announcement) error {
-	addr, err := netip.ParseAddrPort(a.Address)
-	if err != nil || a.EndpointID == "" || a.Pool == "" {
-		return fault.New(fault.BadRequest, "the announcement of endpoint %q needs an id, a service and an address as ip:port; send all three", a.EndpointID)
+	addr, err := endpoint.Check(&a)
+	if err != nil {
+		return fault.New(fault.BadRequest, "the announcement of endpoint %.50q is refused: %v; send a correct one", a.EndpointID, err)
 	}
 	e := endpoint.Entry{Announcement: a, Addr: addr, Source: endpoint.Direct, OfService: true}
 	var failure error
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"godwitplank"
 	"godwitplank/control"
 	"godwitplank/document"
+	"godwitplank/endpoint"
 	"godwitplank/event"
 	"godwitplank/fault"
 	"godwitplank/pipeline"
@@ -116,7 +117,7 @@
 }
 
 func (e *Server) serveAnnouncement(w http.ResponseWriter, r *http.Request) {
-	body, refusal := ReadBody(w, r, MaxBodyBytes)
+	body, refusal := ReadBody(w, r, endpoint.MaxAnnouncementBytes)
 	if refusal != nil {
 		WriteError(w, refusal)
 		return
