route, gateway, piece: obey what endpoints' responses say about calls to come

platform/ decodes the headers into a route.Notice (leaving, time without calls, what was wrong with it). Statistics of an incarnation hold both beliefs, so that requests and pieces obey them alike, and a new incarnation starts without them. Leaving is shared: VMs tell the hubs, which mark the endpoint as draining. A quiet is per VM; the newest counts, at most two minutes. After it a VM sends single calls until one succeeds, and prolongs it by up to a tenth at random, so that VMs do not return together. If all endpoints of a service are quiet, callers are refused at once with the time until the first returns.

Events 406 to 409, three gauges.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -69,6 +69,7 @@
 		SpendSince: p.synced.spend, EndpointsSince: p.synced.endpoints, RenewalsSince: p.synced.renewals, OthersSince: p.synced.others,
 		Paces: from.pacesSince(p.pacesSentAt),
 	}
+	request.Departures = from.departures()
 	from.addCrashEvidence(from.Clock.Now(), p, request)
 	return request
 }
@@ -141,3 +142,13 @@
 		is.Equal(c.document.Version, uint64(5))
 	}
 }
+
+// registered returns the table entry of an endpoint that announces itself.
+func registered(t *testing.T, a godwitplank.Announcement) endpoint.Entry {
+	t.Helper()
+	addr, err := endpoint.Check(&a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return endpoint.Entry{Announcement: a, Addr: addr, Source: endpoint.Direct, OfService: true}
+}
--- a/control/peer.go
+++ b/control/peer.go
@@ -240,6 +240,7 @@
 		}
 		request.Spend, sentRevision = c.localSpendSince(p.sentSpendRevision)
 		request.Paces = c.pacesSince(p.pacesSentAt)
+		request.Departures = c.departures()
 		c.addCrashEvidence(c.Clock.Now(), p, request)
 	}) != nil {
 		return pause
--- a/control/server.go
+++ b/control/server.go
@@ -36,6 +36,7 @@
 	c.mergeSpend(r.Spend)
 	c.mergePaces(r.Paces)
 	c.mergeCrashEvidence(now, r)
+	c.mergeDepartures(r.Departures)
 	since := syncRevisions{c.Incarnation, r.SpendSince, r.EndpointsSince, r.RenewalsSince, r.OthersSince}
 	if r.ReceiverIncarnation != c.Incarnation {
 		since = syncRevisions{}
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"godwitplank/route"
 	"godwitplank/telemetry"
 	"godwitplank/timer"
 )
@@ -12,6 +13,9 @@
 		{Name: "godwitplank_document_version", Description: "Version of the document in force.", Read: d.readVersion},
 		{Name: "godwitplank_document_age_seconds", Description: "Time since the document was put in force here.", Read: d.readAge},
 		{Name: "godwitplank_endpoints", Description: "Endpoints by pool and state.", Read: d.readEndpoints},
+		{Name: "godwitplank_endpoints_quiet", Description: "Endpoints that asked this VM for no calls for a time that is not over.", Read: d.readQuiet},
+		{Name: "godwitplank_endpoints_leaving", Description: "Endpoints that told this VM in a response that they leave, and whose announcements do not say so.", Read: d.readLeaving},
+		{Name: "godwitplank_prompt_quarantines", Description: "Sets of prompt parts that are kept from endpoints.", Read: d.readQuarantines},
 		{Name: "godwitplank_vms_alive", Description: "VMs that are alive as this one knows, itself among them.", Read: d.readVMs},
 		{Name: "godwitplank_stage_queue_pieces", Description: "Pieces of a stage's service that wait here for an endpoint.", Read: d.readQueues},
 		{Name: "godwitplank_retry_budget_left", Description: "Calls of a service that this VM may still repeat now.", Read: d.readBudgets},
@@ -103,3 +107,28 @@
 func (d *Daemon) readDropped() []telemetry.Reading {
 	return singleReading(float64(d.output.Dropped()))
 }
+
+func (d *Daemon) readQuiet() []telemetry.Reading {
+	now := timer.System.Now()
+	return d.countCandidates(func(s *route.Stats) bool { return now.Before(s.QuietUntil()) })
+}
+
+func (d *Daemon) readLeaving() []telemetry.Reading {
+	return d.countCandidates((*route.Stats).Leaving)
+}
+
+func (d *Daemon) countCandidates(counts func(s *route.Stats) bool) []telemetry.Reading {
+	n := 0
+	for _, candidates := range d.control.View().Pools {
+		for i := range candidates {
+			if counts(candidates[i].Stats) {
+				n++
+			}
+		}
+	}
+	return singleReading(float64(n))
+}
+
+func (d *Daemon) readQuarantines() []telemetry.Reading {
+	return singleReading(float64(len(d.control.Crashes.Quarantines(timer.System.Now()))))
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -28,6 +28,10 @@
 	EndpointLost          = Event{403, log.WarnLevel, "endpoint lease expired", "endpoint", "check whether the endpoint died or cannot reach the VMs"}
 	EndpointConflict      = Event{404, log.ErrorLevel, "two machines announce one endpoint id", "endpoint, address, held_by", "assign each endpoint a unique id"}
 	EndpointEjected       = Event{405, log.WarnLevel, "endpoint ejected after a failure", "endpoint, error, until_ms", "check the endpoint; it is tried again automatically"}
+	EndpointLeaves        = Event{406, log.InfoLevel, "endpoint says in a response that it leaves", "endpoint, incarnation, source, request_id", "nothing; it gets no new calls"}
+	EndpointQuiet         = Event{407, log.InfoLevel, "endpoint asks for no calls", "endpoint, incarnation, quiet_ms, source, request_id", "if it repeats, the endpoint is overloaded: add endpoints of its service"}
+	EndpointQuietEnded    = Event{408, log.InfoLevel, "endpoint accepts calls again after its quiet", "endpoint, incarnation", "nothing"}
+	EndpointNoticeIgnored = Event{409, log.WarnLevel, "notice of an endpoint's response ignored", "endpoint, source, reason", "correct the endpoint"}
 	RequestRefused        = Event{501, log.DebugLevel, "request refused", "request_id, workspace, pipeline, kind, outcome", "see the remedy of the kind"}
 	AnswerDropped         = Event{502, log.WarnLevel, "stage answer dropped: its ids do not match the call", "request_id, stage, attempt, endpoint", "the endpoint mixes up answers: remove it and fix it"}
 	OutcomeUnknown        = Event{503, log.WarnLevel, "outcome of a non-idempotent call is unknown", "request_id, workspace, stage", "check the service's own records for whether it ran"}
@@ -52,7 +56,7 @@
 	Started, StopStarted, Stopped, Ready, Reloaded, ReloadRefused, StopStepFailed, LinesDropped, SettingClamped,
 	RoleChanged, GroupStarted, MembershipChanged, SnapshotTaken, SnapshotInstalled, TailTruncated, LeadershipTransferred,
 	VMAlive, VMLost, ConnectionReset,
-	EndpointAnnounced, EndpointDraining, EndpointLost, EndpointConflict, EndpointEjected,
+	EndpointAnnounced, EndpointDraining, EndpointLost, EndpointConflict, EndpointEjected, EndpointLeaves, EndpointQuiet, EndpointQuietEnded, EndpointNoticeIgnored,
 	RequestRefused, AnswerDropped, OutcomeUnknown,
 	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, BatchFinished, StageFinished, ResultNotReleased, DispatcherFailed, RequestAccepted, RetryRefused, PromptQuarantined, RequestQuarantined,
 	DocumentActivated, DocumentRefused,
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -110,7 +110,7 @@
 		if o.err == nil && o.response == nil {
 			return nil
 		}
-		if errors.Is(o.err, errNoCandidate) && x.attempts > 0 {
+		if isNoCandidate(o.err) && x.attempts > 0 {
 			break
 		}
 		last = o
@@ -159,7 +159,7 @@
 
 // canRetry reports whether the request may go to another endpoint after an attempt with outcome o.
 func (g *Gateway) canRetry(ctx context.Context, x *exchange, o *outcome) bool {
-	if ctx.Err() != nil || errors.Is(o.err, errNoCandidate) {
+	if ctx.Err() != nil || isNoCandidate(o.err) {
 		return false
 	}
 	if !x.firstByteAt.IsZero() && !x.route.Resume {
@@ -191,6 +191,19 @@
 		WithOutcome(godwitplank.NotRun, noEndpointRetryAfter)
 }
 
+// noCandidate returns errNoCandidate, or the same with the time until the first endpoint accepts calls again.
+func noCandidate(q route.Query, candidates []route.Candidate) error {
+	if until := route.FirstReturn(q, candidates); until.After(q.Now) {
+		return errNoCandidate.WithOutcome(godwitplank.NotRun, until.Sub(q.Now))
+	}
+	return errNoCandidate
+}
+
+// isNoCandidate reports whether err is an error of noCandidate.
+func isNoCandidate(err error) bool {
+	return fault.Is(err) && fault.As(err).Kind == fault.NoEndpoint
+}
+
 var errNoCandidate = fault.New(fault.NoEndpoint, "no endpoint is available for the request; retry after the indicated delay").
 	WithOutcome(godwitplank.NotRun, noEndpointRetryAfter)
 
@@ -222,7 +235,7 @@
 		chosen = g.Policy.Choose(q, candidates)
 	}
 	if chosen < 0 {
-		return nil, errNoCandidate
+		return nil, noCandidate(q, candidates)
 	}
 	a.candidate = &candidates[chosen]
 	x.tried = append(x.tried, a.candidate.ID)
@@ -262,7 +275,7 @@
 		conn.Close()
 		return outcome{err: err, mayHaveRun: sent}
 	}
-	r, header, err := g.receive(x, conn)
+	r, header, err := g.receive(x, a)
 	if err != nil {
 		conn.Close()
 		return outcome{err: err, mayHaveRun: true}
@@ -296,13 +309,14 @@
 const maxStaleResponses = 2
 
 // receive reads the header of the response to this request. Late responses to earlier requests are read and discarded.
-func (g *Gateway) receive(x *exchange, conn *connection.Conn) (*http.Response, ResponseHeader, error) {
+func (g *Gateway) receive(x *exchange, a *attempt) (*http.Response, ResponseHeader, error) {
 	for range maxStaleResponses + 1 {
-		r, err := conn.Receive(x.Method)
+		r, err := a.conn.Receive(x.Method)
 		if err != nil {
 			return nil, ResponseHeader{}, err
 		}
 		header := g.Protocol.DecodeResponse(r.StatusCode, r.Header)
+		a.candidate.ObserveNotice(g.Clock.Now(), header.Notice, g.Log, "request", x.ID)
 		if header.RequestID == "" || header.RequestID == x.ID {
 			return r, header, nil
 		}
@@ -394,6 +408,9 @@
 	switch {
 	case o.err == nil:
 		stats.Succeed(elapsed, a.slowdown)
+		if stats.EndQuiet(now) {
+			g.Log.Log(event.EndpointQuietEnded, "endpoint", a.candidate.ID, "incarnation", a.candidate.Incarnation)
+		}
 		g.Reach.RecordResponse(a.candidate.DataCentre)
 	case ctx.Err() != nil:
 		stats.Cancel(elapsed)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -61,6 +61,8 @@
 	NotRun bool
 	// InputsGone is true if a stage result that the request needs no longer exists.
 	InputsGone bool
+	// Notice is what the response says about calls to come.
+	Notice route.Notice
 }
 
 // Protocol translates between Gateway and the HTTP messages of callers and endpoints.
--- a/piece/call.go
+++ b/piece/call.go
@@ -38,6 +38,9 @@
 	defer d.mu.Unlock()
 	state.inFlight--
 	d.updateEndpoint(state, response, err, elapsed, predicted)
+	if err == nil && !response.NotRun && c.Stats.EndQuiet(d.Clock.Now()) {
+		d.Log.Log(event.EndpointQuietEnded, "endpoint", c.ID, "incarnation", c.Incarnation)
+	}
 	state.heldBytes -= resultBytes(units)
 	d.applyResults(s, state, response, err, units)
 	d.dispatch(s.Name, d.queues[s.Name])
@@ -96,6 +99,7 @@
 		if response, err = d.Protocol.DecodeRunResponse(r.StatusCode, r.Header, body); err == nil {
 			err = d.checkResults(response, len(items))
 		}
+		c.ObserveNotice(d.Clock.Now(), response.Notice, d.Log, "stage", items[0].RequestID)
 		return err == nil && !response.NotRun, err
 	})
 	if err != nil {
--- a/piece/dispatch.go
+++ b/piece/dispatch.go
@@ -93,8 +93,8 @@
 }
 
 // availableEndpoints returns the endpoints with a free call slot, fastest first, and the data centres with confirmed
-// endpoints, busy ones included. It omits endpoints with an expired lease, in backoff or in unreachable data centres from
-// both.
+// endpoints, busy ones included. It omits endpoints with an expired lease, that accept no calls, in backoff or in unreachable data
+// centres from both.
 func (d *Dispatcher) availableEndpoints(now time.Time, s *document.Service) ([]*route.Candidate, map[string]bool) {
 	var out []*route.Candidate
 	servedDCs := make(map[string]bool)
@@ -102,7 +102,7 @@
 	for i := range candidates {
 		c := &candidates[i]
 		state := d.endpoint(endpointKey(c))
-		if now.Before(state.backoffUntil) || !now.Before(c.ExpiresAt) || d.Reach.Unreachable(now, c.DataCentre) {
+		if now.Before(state.backoffUntil) || !now.Before(c.ExpiresAt) || !c.Stats.Accepts(now, int64(state.inFlight)) || d.Reach.Unreachable(now, c.DataCentre) {
 			continue
 		}
 		if c.Confirmed {
--- a/piece/dispatcher_test.go
+++ b/piece/dispatcher_test.go
@@ -32,11 +32,20 @@
 	return &connection.Call{Method: http.MethodPost, Target: "/run", Host: host, Body: body}
 }
 
-func (protocol) DecodeRunResponse(status int, _ http.Header, body []byte) (Response, error) {
+// Headers of the test protocol: the endpoint leaves, or wants no calls for a duration.
+const (
+	leavingHeader = "Leaving"
+	quietHeader   = "Quiet"
+)
+
+func (protocol) DecodeRunResponse(status int, header http.Header, body []byte) (Response, error) {
+	var response Response
+	response.Notice.Leaving = header.Get(leavingHeader) != ""
+	response.Notice.RetryAfter, _ = time.ParseDuration(header.Get(quietHeader))
 	if status == http.StatusServiceUnavailable {
-		return Response{NotRun: true}, nil
+		response.NotRun = true
+		return response, nil
 	}
-	var response Response
 	return response, json.Unmarshal(body, &response.Results)
 }
 
--- a/piece/held.go
+++ b/piece/held.go
@@ -69,7 +69,8 @@
 	notify(d.flushSignal)
 }
 
-// flushFrees sends the queued frees, one call per endpoint. A result that cannot be freed expires at its endpoint.
+// flushFrees sends the queued frees, one call per endpoint. A result that cannot be freed expires at its endpoint, as do
+// those at an endpoint that accepts no calls.
 func (d *Dispatcher) flushFrees(ctx context.Context) {
 	d.mu.Lock()
 	frees := d.pendingFrees
@@ -86,7 +87,7 @@
 	for _, name := range services {
 		s := d.Services.Service(name)
 		for _, c := range d.Services.Endpoints(name) {
-			if handles := frees[c.Addr]; handles != nil && s != nil {
+			if handles := frees[c.Addr]; handles != nil && s != nil && c.Stats.Accepts(d.Clock.Now(), 0) {
 				d.group.Go(func() { d.sendFrees(ctx, s, &c, handles) })
 			}
 		}
--- a/piece/piece.go
+++ b/piece/piece.go
@@ -10,6 +10,7 @@
 
 	"godwitplank/connection"
 	"godwitplank/fault"
+	"godwitplank/route"
 )
 
 // Job is one stage of a request, split into pieces.
@@ -77,6 +78,8 @@
 	Results []Result
 	// NotRun is true if the endpoint refused the call and ran none of the items.
 	NotRun bool
+	// Notice is what the response says about calls to come.
+	Notice route.Notice
 }
 
 // Protocol encodes calls to endpoints and decodes their responses.
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -39,6 +39,8 @@
 	pace                atomic.Int64 // EWMA of the time between two events of a stream, in nanoseconds; 0 before the first
 	pacedAt             atomic.Int64 // Unix nanoseconds of the last change of pace
 	sharedPace          atomic.Int64 // as pace, over the streams of all VMs; 0 if unknown
+	leaving             atomic.Bool  // the endpoint said that it leaves
+	quietUntil          atomic.Int64 // Unix nanoseconds; 0 if the endpoint asked for no quiet or a call has succeeded since
 }
 
 // Ejection time of a failing endpoint. It starts at minEjection and doubles with each consecutive failure.
--- a/route/policy.go
+++ b/route/policy.go
@@ -45,9 +45,9 @@
 	"predicted":       func() Policy { return PolicyFunc(predicted) },
 }
 
-// usable reports whether a candidate's lease is valid, it serves the model and the request has not tried it.
+// usable reports whether a candidate's lease is valid, it accepts calls and serves the model, and the request has not tried it.
 func usable(q *Query, c *Candidate) bool {
-	if !q.Now.Before(c.ExpiresAt) {
+	if !q.Now.Before(c.ExpiresAt) || !c.Stats.Accepts(q.Now, c.Stats.InFlight()) {
 		return false
 	}
 	for _, id := range q.Tried {
