soak: endpoints that leave without an announcement and ask for quiet

Beside kills, pauses, cuts and disk losses, endpoints now leave by their responses alone, come back as a new incarnation under the same address, and add a time without calls to refusals. The endpoint's side checks that no request of a VM that was told arrives after the time that is left for what crosses, unless the VM or the path to it was disturbed since.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -58,6 +58,8 @@
 	exited chan struct{}
 	// started is set by the first start, in which a control VM may bootstrap the group.
 	started bool
+	// interruptions counts the signals and the starts.
+	interruptions int
 }
 
 func (p *process) addr(port int) string {
@@ -97,6 +99,7 @@
 	}
 	exited := make(chan struct{})
 	p.cmd, p.exited, p.started = cmd, exited, true
+	p.interruptions++
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		_ = cmd.Wait()
@@ -119,10 +122,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd != nil {
+		p.interruptions++
 		_ = p.cmd.Process.Signal(sig)
 	}
 }
 
+func (p *process) interruptionCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.interruptions
+}
+
 func (p *process) wait() {
 	p.mu.Lock()
 	exited, running := p.exited, p.cmd != nil
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -60,6 +60,22 @@
 		s.rates = faultRates{}
 		s.mu.Unlock()
 	}},
+	{"let an endpoint leave without an announcement", 3, func(h *harness, _ *testing.T, rng *rand.Rand, duration time.Duration) {
+		s := pickRandom(rng, h.endpoints)
+		s.leave()
+		time.Sleep(duration)
+		s.returnAsNew()
+	}},
+	{"let an endpoint ask for quiet", 3, func(h *harness, _ *testing.T, rng *rand.Rand, duration time.Duration) {
+		s := pickRandom(rng, h.endpoints)
+		s.mu.Lock()
+		s.rates = faultRates{refuse: rng.Float64(), quiet: rng.Float64()}
+		s.mu.Unlock()
+		time.Sleep(duration)
+		s.mu.Lock()
+		s.rates = faultRates{}
+		s.mu.Unlock()
+	}},
 	{"reload the settings of a VM", 1, func(h *harness, _ *testing.T, rng *rand.Rand, _ time.Duration) {
 		pickRandom(rng, h.cluster.processes()).signal(syscall.SIGHUP)
 	}},
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -24,7 +24,9 @@
 	mu    sync.Mutex
 	mode  proxyMode
 	conns map[net.Conn]bool
-	wg    sync.WaitGroup
+	// changes counts the changes of mode and the resets.
+	changes int
+	wg      sync.WaitGroup
 }
 
 func newProxy(listen, target string) (*proxy, error) {
@@ -45,6 +47,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = mode
+	p.changes++
+}
+
+func (p *proxy) changeCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.changes
 }
 
 func (p *proxy) currentMode() proxyMode {
@@ -57,6 +66,7 @@
 func (p *proxy) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.changes++
 	for c := range p.conns {
 		_ = c.Close()
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -50,7 +50,7 @@
 	t.Helper()
 	subnet := fmt.Sprintf("127.%d.%d", 20+seed%200, os.Getpid()%250)
 	h := &harness{
-		checker:  &checker{runs: make(map[string]int)},
+		checker:  &checker{runs: make(map[string]int), entries: make(map[string]*process)},
 		outcomes: &outcomes{statuses: make(map[string]int), served: make(map[string]int), failed: make(map[string]int)},
 		rng:      rand.New(rand.NewPCG(seed, 7)), seed: seed,
 	}
@@ -215,6 +215,7 @@
 		s.mu.Lock()
 		s.rates = faultRates{}
 		s.mu.Unlock()
+		s.returnAsNew()
 	}
 	if err := h.cluster.waitReady(recoveryTimeout); err != nil {
 		t.Errorf("seed %d: entry VMs did not become ready after the faults: %v", h.seed, err)
--- a/soak/standin_test.go
+++ b/soak/standin_test.go
@@ -23,6 +23,8 @@
 	// reset closes the connection after the call ran, refuse answers 503 with Not-Executed, fail answers with an error after
 	// the call ran (in stage calls: for single pieces).
 	reset, refuse, fail float64
+	// quiet is the share of the refused requests with a time without calls.
+	quiet float64
 	// extraLatency is added to every stage call.
 	extraLatency time.Duration
 	// truncate closes the connection in the middle of an event, stall sends no more events but keeps the connection open; both
@@ -33,7 +35,8 @@
 // checker counts the runs of each request at all endpoints and collects violations of the system's guarantees.
 type checker struct {
 	mu         sync.Mutex
-	runs       map[string]int // by request ID
+	runs       map[string]int      // by request ID
+	entries    map[string]*process // by request ID: the entry VM that the caller sent it to
 	violations []string
 }
 
@@ -63,7 +66,7 @@
 	server            *http.Server
 	checker           *checker
 	controls          []*process
-	startedMs         int64 // Unix milliseconds, announced as the incarnation
+	startedMs         int64 // Unix milliseconds
 	cancel            context.CancelFunc
 	wg                sync.WaitGroup
 
@@ -71,10 +74,15 @@
 	rng      *rand.Rand
 	rates    faultRates
 	draining bool
+	// leaving is true while the endpoint says in its responses, and only there, that it leaves.
+	leaving bool
+	notices notices
 	// drainAckedAt is when a control VM first acknowledged an announcement with the state draining; zero if none did.
 	drainAckedAt    time.Time
 	resultCount     int // makes handles unique
 	announcementSeq int
+	// restarts is added to startedMs in the announced incarnation.
+	restarts int64
 }
 
 // startEndpoint starts a simulated endpoint, which serves calls and announces itself to the control VMs until stop is called.
@@ -132,7 +140,7 @@
 		}
 		body, _ := json.Marshal(map[string]any{
 			"Service": s.service, "Address": s.proxy.addr(), "Zone": s.zone, "Version": "v1", "Slots": 8, "State": state,
-			"Seq": s.announcementSeq, "born": s.startedMs,
+			"Seq": s.announcementSeq, "born": s.startedMs + s.restarts,
 		})
 		s.mu.Unlock()
 		target := s.controls[i%len(s.controls)]
@@ -180,11 +188,14 @@
 	s.mu.Lock()
 	drainAckedAt := s.drainAckedAt
 	s.mu.Unlock()
+	s.checkNotices(id)
+	s.sayLeaving(w, id)
 	if !drainAckedAt.IsZero() && time.Since(drainAckedAt) > 2*time.Second {
 		s.checker.violation("drain: request %s reached endpoint %s %s after the acknowledgement that it is draining", id, s.id, time.Since(drainAckedAt))
 	}
 	w.Header().Set("Request-Id", id)
 	if s.shouldInject(func(r faultRates) float64 { return r.refuse }) {
+		s.askForQuiet(w, id)
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/soak/traffic_test.go
+++ b/soak/traffic_test.go
@@ -78,6 +78,7 @@
 	if err != nil {
 		return
 	}
+	c.checker.recordEntry(id, p)
 	req.Host = "soak.example"
 	req.GetBody = nil // keeps the client from retrying the request itself
 	req.Header = http.Header{
