stage, pipeline: endpoints of the own interface say that they leave or want no calls

The product's own protocol gets the same two facts under its own names: leaving in an answer, in the last event of a stream or in a refusal, retry_after_ms in a refusal with 503.

--- a/pipeline/order.go
+++ b/pipeline/order.go
@@ -155,12 +155,12 @@
 	// A process that was suspended after its claim must not send the call past the deadline: the claim may have
 	// expired.
 	mayStart := func() bool { return c.runner.Clock.Now().Before(c.job.Deadline) }
-	output, err := c.runner.Client.CallOnce(ctx, candidate.Addr, call, mayStart)
-	c.runner.finishCall(c.job, c.stage, candidate, call, started, slowdown, causeOrder, err)
+	answer, err := c.runner.Client.CallOnce(ctx, candidate.Addr, call, mayStart)
+	c.runner.finishCall(c.job, c.stage, candidate, call, started, slowdown, causeOrder, answer, err)
 	if err == nil {
 		c.runner.poolStats.stat(c.stage).observe(c.runner.Clock.Now().Sub(started))
 	}
-	return output, err
+	return answer.Output, err
 }
 
 // recordDone commits the result before it is returned. Without a quorum the result is still returned, since the call
--- a/pipeline/repeatable.go
+++ b/pipeline/repeatable.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
 	"godwitplank"
@@ -128,12 +129,12 @@
 	ctx, span := telemetry.StartSpan(ctx, "attempt", "request_id", call.RequestID, "stage", call.Stage, "endpoint", c.ID, "cause", cause)
 	defer span.End()
 	started, slowdown := a.runner.beginCall(c)
-	output, err := a.runner.Client.Call(ctx, c.Addr, call)
-	a.runner.finishCall(a.job, a.stage, c, call, started, slowdown, cause, err)
+	answer, err := a.runner.Client.Call(ctx, c.Addr, call)
+	a.runner.finishCall(a.job, a.stage, c, call, started, slowdown, cause, answer, err)
 	if err == nil {
 		a.pool.observe(a.runner.Clock.Now().Sub(started))
 	}
-	return result{output, err}
+	return result{answer.Output, err}
 }
 
 func (a *attempts) hedgeDelay() time.Duration {
@@ -166,12 +167,16 @@
 
 // finishCall records the outcome of an attempt in the endpoint's statistics, the workspace's spend and the metrics. If
 // the call expired, the endpoint is asked to cancel it.
-func (r *Runner) finishCall(j *Job, s *document.Stage, c route.Candidate, call godwitplank.StageCall, started time.Time, slowdown float64, cause string, err error) {
+func (r *Runner) finishCall(j *Job, s *document.Stage, c route.Candidate, call godwitplank.StageCall, started time.Time, slowdown float64, cause string, answer godwitplank.StageAnswer, err error) {
 	elapsed := r.Clock.Now().Sub(started)
+	c.ObserveNotice(r.Clock.Now(), notice(answer, err), r.Log, "stage", call.RequestID)
 	outcome := "done"
 	switch failure := reason(err); {
 	case err == nil:
 		c.Stats.Succeed(elapsed, slowdown)
+		if c.Stats.EndQuiet(r.Clock.Now()) {
+			r.Log.Log(event.EndpointQuietEnded, "endpoint", c.ID, "incarnation", c.Incarnation)
+		}
 	case failure == stage.Expired:
 		outcome = string(failure)
 		c.Stats.Cancel(elapsed)
@@ -201,3 +206,20 @@
 func stageFailed(s *document.Stage, cause error) *fault.Error {
 	return fault.New(fault.StageFailed, "stage %s failed (%v); send the request again", s.Name, cause)
 }
+
+// notice returns what an answer or a refusal says about calls to come.
+func notice(answer godwitplank.StageAnswer, err error) route.Notice {
+	n := answer.EndpointNotice
+	var refusal *stage.Error
+	if errors.As(err, &refusal) {
+		n = refusal.Notice
+	}
+	out := route.Notice{Leaving: n.Leaving}
+	switch {
+	case n.RetryAfterMS < 0:
+		out.Ignored = fmt.Sprintf("retry_after_ms: %d", n.RetryAfterMS)
+	case err != nil:
+		out.RetryAfter = time.Duration(min(n.RetryAfterMS, route.MaxQuiet.Milliseconds())) * time.Millisecond
+	}
+	return out
+}
--- a/pipeline/stream.go
+++ b/pipeline/stream.go
@@ -131,13 +131,13 @@
 	maxDuration := streamDurationFactor * r.poolStats.stat(s).latency()
 	// Without a retry in the budget the stalled stream is the only chance, so it continues.
 	onTimeout := func() bool { return r.poolStats.stat(s).takeRetry() }
-	output, err := r.Client.Stream(ctx, c.Addr, call, stage.StreamTimeouts{Idle: stall, Total: maxDuration, OnTimeout: onTimeout}, func(t godwitplank.StageToken) { tokens.add(t.Index, t.Text) })
+	answer, err := r.Client.Stream(ctx, c.Addr, call, stage.StreamTimeouts{Idle: stall, Total: maxDuration, OnTimeout: onTimeout}, func(t godwitplank.StageToken) { tokens.add(t.Index, t.Text) })
 	if err == nil && !tokens.complete() {
 		err = &stage.Error{Reason: stage.Broken, Cause: errMissingTokens}
 	}
-	r.finishCall(j, s, c, call, started, slowdown, cause, err)
+	r.finishCall(j, s, c, call, started, slowdown, cause, answer, err)
 	if err == nil {
 		r.poolStats.stat(s).observe(r.Clock.Now().Sub(started))
 	}
-	return output, err
+	return answer.Output, err
 }
--- a/stage.go
+++ b/stage.go
@@ -24,6 +24,15 @@
 	Stage     string          `json:"stage"`
 	Attempt   int             `json:"attempt"`
 	Output    json.RawMessage `json:"output"`
+	EndpointNotice
+}
+
+// EndpointNotice is what an endpoint says about calls to come, in an answer or in the JSON body of a refusal.
+type EndpointNotice struct {
+	// Leaving is true if the endpoint drains: it wants no new calls in this incarnation.
+	Leaving bool `json:"leaving,omitempty"`
+	// RetryAfterMS is how long the endpoint wants no call from this VM, in milliseconds. It counts in a refusal with status 503.
+	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
 }
 
 // StageToken is one token event of a stream.
--- a/stage/client.go
+++ b/stage/client.go
@@ -50,6 +50,8 @@
 type Error struct {
 	Reason Reason
 	Cause  error
+	// Notice is what a refusal says about calls to come.
+	Notice godwitplank.EndpointNotice
 }
 
 // Error returns the reason followed by the cause.
@@ -85,15 +87,15 @@
 	return c
 }
 
-// Call sends an idempotent call and returns the output of the response. Errors are of type *Error.
-func (c *Client) Call(ctx context.Context, addr netip.AddrPort, call godwitplank.StageCall) (json.RawMessage, error) {
+// Call sends an idempotent call and returns the answer. Errors are of type *Error.
+func (c *Client) Call(ctx context.Context, addr netip.AddrPort, call godwitplank.StageCall) (godwitplank.StageAnswer, error) {
 	r, err := newRequest(ctx, addr, call)
 	if err != nil {
-		return nil, &Error{NotSent, err}
+		return godwitplank.StageAnswer{}, &Error{Reason: NotSent, Cause: err}
 	}
 	response, err := c.http.Do(r)
 	if err != nil {
-		return nil, sendError(ctx, err)
+		return godwitplank.StageAnswer{}, sendError(ctx, err)
 	}
 	return readResponse(ctx, response, call)
 }
@@ -101,15 +103,15 @@
 // CallOnce sends a non-idempotent call once, on a new connection, since http.Client may resend a request on its own. It
 // calls mayStart right before the first byte is written and sends nothing if that returns false. Errors are of type
 // *Error.
-func (c *Client) CallOnce(ctx context.Context, addr netip.AddrPort, call godwitplank.StageCall, mayStart func() bool) (json.RawMessage, error) {
+func (c *Client) CallOnce(ctx context.Context, addr netip.AddrPort, call godwitplank.StageCall, mayStart func() bool) (godwitplank.StageAnswer, error) {
 	r, err := newRequest(ctx, addr, call)
 	if err != nil {
-		return nil, &Error{NotSent, err}
+		return godwitplank.StageAnswer{}, &Error{Reason: NotSent, Cause: err}
 	}
 	r.Close = true
 	conn, err := c.dialer.DialContext(ctx, "tcp", addr.String())
 	if err != nil {
-		return nil, &Error{NotSent, err}
+		return godwitplank.StageAnswer{}, &Error{Reason: NotSent, Cause: err}
 	}
 	defer conn.Close()
 	if deadline, ok := ctx.Deadline(); ok {
@@ -117,16 +119,16 @@
 	}
 	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 	if !mayStart() {
-		return nil, &Error{NotSent, context.DeadlineExceeded}
+		return godwitplank.StageAnswer{}, &Error{Reason: NotSent, Cause: context.DeadlineExceeded}
 	}
 	if err := r.Write(conn); err != nil {
-		return nil, &Error{Broken, err}
+		return godwitplank.StageAnswer{}, &Error{Reason: Broken, Cause: err}
 	}
 	head := &connection.HeadLimiter{Reader: conn}
 	head.StartHead()
 	response, err := http.ReadResponse(newReader(head), r)
 	if err != nil {
-		return nil, &Error{Broken, err}
+		return godwitplank.StageAnswer{}, &Error{Reason: Broken, Cause: err}
 	}
 	head.EndHead()
 	return readResponse(ctx, response, call)
@@ -165,36 +167,43 @@
 func sendError(ctx context.Context, err error) error {
 	var op *net.OpError
 	if asOpError(err, &op) && op.Op == "dial" && ctx.Err() == nil {
-		return &Error{NotSent, err}
+		return &Error{Reason: NotSent, Cause: err}
 	}
 	return connectionError(ctx, err)
 }
 
 func connectionError(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
-		return &Error{Expired, ctx.Err()}
+		return &Error{Reason: Expired, Cause: ctx.Err()}
 	}
-	return &Error{Broken, err}
+	return &Error{Reason: Broken, Cause: err}
 }
 
-func readResponse(ctx context.Context, response *http.Response, call godwitplank.StageCall) (json.RawMessage, error) {
+func readResponse(ctx context.Context, response *http.Response, call godwitplank.StageCall) (godwitplank.StageAnswer, error) {
+	var answer godwitplank.StageAnswer
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, MaxResponseBytes+1))
 	if err != nil {
-		return nil, connectionError(ctx, err)
+		return answer, connectionError(ctx, err)
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, &Error{Refused, fmt.Errorf("status %d: %.200s", response.StatusCode, body)}
+		refusal := &Error{Reason: Refused, Cause: fmt.Errorf("status %d: %.200s", response.StatusCode, body)}
+		if json.Unmarshal(body, &refusal.Notice) != nil {
+			refusal.Notice = godwitplank.EndpointNotice{} // another body says nothing
+		}
+		if response.StatusCode != http.StatusServiceUnavailable {
+			refusal.Notice.RetryAfterMS = 0
+		}
+		return answer, refusal
 	}
 	if len(body) > MaxResponseBytes {
-		return nil, &Error{Refused, fmt.Errorf("the response exceeds the limit of %d bytes", MaxResponseBytes)}
+		return answer, &Error{Reason: Refused, Cause: fmt.Errorf("the response exceeds the limit of %d bytes", MaxResponseBytes)}
 	}
-	var answer godwitplank.StageAnswer
 	if err := json.Unmarshal(body, &answer); err != nil {
-		return nil, &Error{Mismatched, err}
+		return godwitplank.StageAnswer{}, &Error{Reason: Mismatched, Cause: err}
 	}
 	if !answer.Matches(call) {
-		return nil, &Error{Mismatched, fmt.Errorf("the response is for request %s, stage %s, attempt %d", answer.RequestID, answer.Stage, answer.Attempt)}
+		return godwitplank.StageAnswer{}, &Error{Reason: Mismatched, Cause: fmt.Errorf("the response is for request %s, stage %s, attempt %d", answer.RequestID, answer.Stage, answer.Attempt)}
 	}
-	return answer.Output, nil
+	return answer, nil
 }
--- a/stage/stream.go
+++ b/stage/stream.go
@@ -31,9 +31,9 @@
 	OnTimeout func() bool
 }
 
-// Stream sends a call with a streamed response and calls onToken for each token. It returns the output of the final
-// event, or of a response that is not a stream. Errors are of type *Error; after a stall the cause is ErrStalled.
-func (c *Client) Stream(ctx context.Context, addr netip.AddrPort, call godwitplank.StageCall, timeouts StreamTimeouts, onToken func(godwitplank.StageToken)) (json.RawMessage, error) {
+// Stream sends a call with a streamed response and calls onToken for each token. It returns the answer of the final event, or of a
+// response that is not a stream. Errors are of type *Error; after a stall the cause is ErrStalled.
+func (c *Client) Stream(ctx context.Context, addr netip.AddrPort, call godwitplank.StageCall, timeouts StreamTimeouts, onToken func(godwitplank.StageToken)) (godwitplank.StageAnswer, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	onTimeout := func() {
@@ -47,12 +47,12 @@
 	call.Stream = true
 	r, err := newRequest(ctx, addr, call)
 	if err != nil {
-		return nil, &Error{NotSent, err}
+		return godwitplank.StageAnswer{}, &Error{Reason: NotSent, Cause: err}
 	}
 	r.Header.Set("Accept", "text/event-stream")
 	response, err := c.http.Do(r)
 	if err != nil {
-		return nil, stallError(ctx, sendError(ctx, err))
+		return godwitplank.StageAnswer{}, stallError(ctx, sendError(ctx, err))
 	}
 	if !strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
 		return readResponse(ctx, response, call)
@@ -62,16 +62,16 @@
 	for {
 		name, data, err := events.next()
 		if err != nil {
-			return nil, stallError(ctx, connectionError(ctx, err))
+			return godwitplank.StageAnswer{}, stallError(ctx, connectionError(ctx, err))
 		}
 		stallTimer.Reset(timeouts.Idle)
 		if durationTimer == nil && timeouts.Total > 0 {
 			durationTimer = time.AfterFunc(timeouts.Total, onTimeout)
 			defer durationTimer.Stop()
 		}
-		output, done, err := handleEvent(name, data, call, onToken)
+		answer, done, err := handleEvent(name, data, call, onToken)
 		if done || err != nil {
-			return output, err
+			return answer, err
 		}
 	}
 }
@@ -81,30 +81,30 @@
 
 func stallError(ctx context.Context, err error) error {
 	if context.Cause(ctx) == ErrStalled {
-		return &Error{Broken, ErrStalled}
+		return &Error{Reason: Broken, Cause: ErrStalled}
 	}
 	return err
 }
 
 // handleEvent processes one event and reports whether it was the final one. Unknown events are ignored.
-func handleEvent(name string, data []byte, call godwitplank.StageCall, onToken func(godwitplank.StageToken)) (json.RawMessage, bool, error) {
+func handleEvent(name string, data []byte, call godwitplank.StageCall, onToken func(godwitplank.StageToken)) (godwitplank.StageAnswer, bool, error) {
 	switch name {
 	case "token":
 		var t godwitplank.StageToken
 		if err := json.Unmarshal(data, &t); err != nil || !t.Matches(call) {
-			return nil, false, &Error{Mismatched, fmt.Errorf("a token event is for request %s, stage %s, attempt %d", t.RequestID, t.Stage, t.Attempt)}
+			return godwitplank.StageAnswer{}, false, &Error{Reason: Mismatched, Cause: fmt.Errorf("a token event is for request %s, stage %s, attempt %d", t.RequestID, t.Stage, t.Attempt)}
 		}
 		onToken(t)
 	case "done":
 		var a godwitplank.StageAnswer
 		if err := json.Unmarshal(data, &a); err != nil || !a.Matches(call) {
-			return nil, false, &Error{Mismatched, fmt.Errorf("the final event is for request %s, stage %s, attempt %d", a.RequestID, a.Stage, a.Attempt)}
+			return godwitplank.StageAnswer{}, false, &Error{Reason: Mismatched, Cause: fmt.Errorf("the final event is for request %s, stage %s, attempt %d", a.RequestID, a.Stage, a.Attempt)}
 		}
-		return a.Output, true, nil
+		return a, true, nil
 	case "error":
-		return nil, false, &Error{Refused, fmt.Errorf("the stream ended with an error: %.200s", data)}
+		return godwitplank.StageAnswer{}, false, &Error{Reason: Refused, Cause: fmt.Errorf("the stream ended with an error: %.200s", data)}
 	}
-	return nil, false, nil
+	return godwitplank.StageAnswer{}, false, nil
 }
 
 // eventReader reads server-sent events. It supports only the event and data fields.
