--- a/crash/crash.go
+++ b/crash/crash.go
@@ -48,7 +48,7 @@
 	minPrompts = 2
 	// reportTime has to pass after the first crash was learned of, so that other VMs can report completed runs with the part.
 	reportTime = 1500 * time.Millisecond
-	// runRetention and survivalRetention are how long broken and completed runs are remembered.
+	// runRetention and survivalRetention are how long crashed and completed runs are remembered.
 	runRetention      = 5 * time.Minute
 	survivalRetention = 30 * time.Second
 	// suspicionPeriod is how long after a crash the parts of its runs are suspects, of which other VMs report completed runs.
--- a/crash/evaluate.go
+++ b/crash/evaluate.go
@@ -14,7 +14,7 @@
 	prompts   map[uint64]bool
 	// learnedAt is when this VM learned of the first of the crashes.
 	learnedAt time.Time
-	// common are the parts that all broken runs with the part have and that were in no completed run since.
+	// common are the parts that all crashed runs with the part have and that were in no completed run since.
 	common []string
 }
 
@@ -78,7 +78,7 @@
 	return out
 }
 
-// suspects returns the parts of broken runs that were not completed since, and all crashes in time order. Crashes under a
+// suspects returns the parts of crashed runs that were not completed since, and all crashes in time order. Crashes under a
 // quarantined prompt, in force or on probation, are left out: they count for no other part.
 func (t *Tracker) suspects() ([]*suspect, []endpointCrash) {
 	explained := make(map[Endpoint]bool)
@@ -202,7 +202,7 @@
 	}
 }
 
-// lastCrashOf returns the time of the last known broken run with all parts, zero if there is none.
+// lastCrashOf returns the time of the last known crashed run with all parts, zero if there is none.
 func (t *Tracker) lastCrashOf(parts []string) time.Time {
 	var last time.Time
 	for _, r := range t.runs {
