--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,6 +20,7 @@
 var (
 	firstSeed    = flag.Uint64("soak.first", 1, "first seed to run")
 	seedCount    = flag.Int("soak.seeds", 1, "number of seeds to run, counted up from soak.first")
+	entryCount   = flag.Int("soak.entries", 3, "number of entry VMs for each seed, at most 40")
 	faultPhase   = flag.Duration("soak.length", 12*time.Second, "how long faults are injected for each seed")
 	failedLogDir = flag.String("soak.keep", "", "directory for the VM logs of failed seeds; empty keeps none")
 )
@@ -188,7 +189,7 @@
 	}
 	for _, seed := range allSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			h := newHarness(t, seed, 3, 4)
+			h := newHarness(t, seed, *entryCount, 4)
 			h.runWithTraffic(8, func() {
 				h.injectFaults(t, *faultPhase)
 				h.checkRecovery(t)
--- a/soak/standin_test.go
+++ b/soak/standin_test.go
@@ -38,6 +38,7 @@
 	runs       map[string]int      // by request ID
 	entries    map[string]*process // by request ID: the entry VM that the caller sent it to
 	violations []string
+	crashes    []time.Time
 }
 
 func (c *checker) countRun(id string) {
@@ -204,6 +205,10 @@
 		return
 	}
 	s.checker.countRun(id)
+	if strings.Contains(r.Header.Get("Prompt-Prefix"), deadlyPart+":") {
+		s.crash()
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Server-Seal", "seal")
 	if strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/chat/") {
 		s.stream(w, r, id)
--- a/soak/traffic_test.go
+++ b/soak/traffic_test.go
@@ -74,7 +74,7 @@
 func (c *caller) send(p *process, kind, id string, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.addr(routesPort)+"/"+kind+"/x", strings.NewReader("body of "+id))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.addr(routesPort)+"/"+pathOf(kind)+"/x", strings.NewReader("body of "+id))
 	if err != nil {
 		return
 	}
@@ -85,6 +85,9 @@
 		"Request-Id": {id}, "Key": {"secret"}, "Tenant": {"somebody else"}, "Deadline-Remaining": {strconv.FormatInt(timeout.Milliseconds(), 10)},
 		"Piece-Count": {fmt.Sprintf("%d,%d", piecesPerStage, piecesPerStage)}, "Piece-Key": {"key-" + id}, "Prompt-Prefix": {"aa:100,bb" + c.name + ":50"},
 	}
+	if kind == deadlyKind {
+		req.Header.Set("Prompt-Prefix", "aa:100,subject-"+id+":20,"+deadlyPart+":50,own-"+id+":10")
+	}
 	resp, err := c.client.Do(req)
 	if err != nil {
 		c.recordOutcome(id, kind, 0, false)
@@ -96,6 +99,14 @@
 	c.checkResponse(id, kind, resp, string(body), err == nil)
 }
 
+// pathOf returns the path segment of a kind of request.
+func pathOf(kind string) string {
+	if kind == deadlyKind {
+		return "chat"
+	}
+	return kind
+}
+
 func (c *caller) recordOutcome(id, kind string, status int, served bool) {
 	c.outcomes.mu.Lock()
 	defer c.outcomes.mu.Unlock()
