explain: name an endpoint's own error response as the cause

For an endpoint's own 504 at the deadline, or a 500 that two endpoints in a row answered, explain said that nothing went wrong, since neither has a kind of fault. TestEndpointFailureIsTheCause failed before.

--- a/explain/report.go
+++ b/explain/report.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -208,6 +209,24 @@
 			}
 		}
 	}
+	return endpointFailure(lines)
+}
+
+// endpointFailure describes an endpoint's own error response that the caller got, empty if there is none.
+func endpointFailure(lines []Line) string {
+	endpoint := ""
+	for i := range lines {
+		l := &lines[i]
+		switch {
+		case l.Event == event.RequestSent.Number:
+			endpoint = l.stringValue("endpoint")
+		case l.Event == event.RequestAnswered.Number && l.numberValue("status") == http.StatusGatewayTimeout:
+			return fmt.Sprintf("endpoint %s answered 504: the deadline passed while it worked; it got the request with %.0f ms spent in stages, of %.0f ms in all",
+				endpoint, l.numberValue("stages_ms"), l.numberValue("took_ms"))
+		case l.Event == event.RequestAnswered.Number && l.numberValue("status") >= http.StatusInternalServerError:
+			return fmt.Sprintf("endpoint %s answered %.0f, the last of %.0f attempts", endpoint, l.numberValue("status"), l.numberValue("attempts"))
+		}
+	}
 	return ""
 }
 
