--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -194,7 +194,8 @@
 // noCandidate returns errNoCandidate, or the same with the time until the first endpoint accepts calls again.
 func noCandidate(q route.Query, candidates []route.Candidate) error {
 	if until := route.FirstReturn(q, candidates); until.After(q.Now) {
-		return errNoCandidate.WithOutcome(godwitplank.NotRun, until.Sub(q.Now))
+		return fault.New(fault.NoEndpoint, "the endpoints that could take the request asked for no calls; retry after the indicated delay").
+			WithOutcome(godwitplank.NotRun, until.Sub(q.Now))
 	}
 	return errNoCandidate
 }
