--- a/control/size_test.go
+++ b/control/size_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"godwitplank"
+	"godwitplank/crash"
 	"godwitplank/vm"
 )
 
@@ -64,3 +65,26 @@
 	runExchange(a, hub, p)
 	is.True(p.aliveVMs["vm-b"])
 }
+
+// The crash of an endpoint with many runs in flight costs each exchange a bounded number of bytes.
+func TestCrashEvidenceIsBounded(t *testing.T) {
+	is := is.New(t)
+	const (
+		runs            = 1000
+		maxRequestBytes = 16 << 10
+		maxReplyBytes   = 4 << 10
+	)
+	hub, a, p := newControl(t, "hub", 1), newControl(t, "vm-a", 1), &peer{}
+	runExchange(a, hub, p)
+	for i := range runs {
+		a.Crashes.RecordCrash(crash.Run{
+			At: a.Clock.Now(), Endpoint: crash.Endpoint{ID: "i-236a4d829b", Incarnation: 1_700_000_000_000}, Prompt: uint64(i),
+			Parts: []string{"a1979a9a31e", fmt.Sprintf("%012x", i), fmt.Sprintf("%012x", runs+i)},
+		})
+	}
+	request := newExchangeRequest(a, p)
+	reply := runExchange(a, hub, p)
+	t.Logf("request: %d bytes, reply: %d bytes", proto.Size(request), proto.Size(reply))
+	is.True(proto.Size(request) < maxRequestBytes)
+	is.True(proto.Size(reply) < maxReplyBytes)
+}
