review: case 2, a client that closes its sending side gets an empty success

Tried: one order in five leaves by closing its sending side and reads on. The earlier cases 2 and 3 are now 3 and 4.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -35,15 +35,24 @@
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(q.deadline + time.Second))
+	if _, err := io.WriteString(conn, q.text()); err != nil {
+		return result{err: err}
+	}
+	return readResult(bufio.NewReader(conn), q.method)
+}
+
+// text returns the request as it is sent.
+func (q *request) text() string {
 	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Remaining: %d\r\n", q.method, q.path, clientHost, q.id, q.deadline.Milliseconds())
 	for name, value := range q.headers {
 		text += name + ": " + value + "\r\n"
 	}
-	text += fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(q.body), q.body)
-	if _, err := io.WriteString(conn, text); err != nil {
-		return result{err: err}
-	}
-	r, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: q.method})
+	return text + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(q.body), q.body)
+}
+
+// readResult reads one whole answer.
+func readResult(reader *bufio.Reader, method string) result {
+	r, err := http.ReadResponse(reader, &http.Request{Method: method})
 	if err != nil {
 		return result{err: err}
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,7 @@
 // cases holds the function of each case. It returns whether the rule was broken, or an error if the case could not run.
 var cases = map[string]func(*deployment) (bool, error){
 	"stage_answers":   stageAnswers,
+	"half_closed":     halfClosed,
 	"crossed_leave":   crossedLeave,
 	"forgotten_leave": forgottenLeave,
 }
