--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -35,14 +35,23 @@
 	quit     chan struct{}
 }
 
-// extraDelay is the time from the next request on a channel to the extra answer that is written before its response.
-const extraDelay = 30 * time.Millisecond
+// extraDelay is the time from an answer to its extra copy.
+const extraDelay = 500 * time.Millisecond
 
 // channel is one connection to a server.
 type channel struct {
 	net.Conn
-	// pending holds an extra answer that is written where the next response is expected.
-	pending []byte
+	// extra is the answer that is written a second time, extraDelay after the first.
+	extra []byte
+	mu    sync.Mutex
+}
+
+// writeAll writes a whole response, or a part of a stream.
+func (c *channel) writeAll(response []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, err := c.Write(response)
+	return err
 }
 
 // newServer starts a server on a free port. host is the last octet of its address.
@@ -92,20 +101,21 @@
 		if err != nil {
 			return
 		}
-		if pending := c.pending; pending != nil {
-			c.pending = nil
-			time.Sleep(extraDelay)
-			if _, err := c.Write(pending); err != nil {
-				return
-			}
-		}
 		if target := r.Header.Get("Target-Instance"); target != "" && target != s.id {
 			_, _ = io.WriteString(c, s.response(http.StatusMisdirectedRequest, "Instance-Id: "+s.id+"\r\n", ""))
 			continue
 		}
-		if _, err := c.Write(s.answer(c, r, body)); err != nil {
+		answer := s.answer(c, r, body)
+		if err := c.writeAll(answer); err != nil {
 			return
 		}
+		if extra := c.extra; extra != nil {
+			c.extra = nil
+			s.d.group.Go(func() {
+				time.Sleep(extraDelay)
+				_ = c.writeAll(extra)
+			})
+		}
 	}
 }
 
--- a/review/standin/stage_answers.go
+++ b/review/standin/stage_answers.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -19,9 +20,10 @@
 	streamEvents   = 4
 	// answersPerExtra is the number of answers of which one is written a second time: under 3 in 100.
 	answersPerExtra = 36
-	burstGap        = 600 * time.Millisecond
-	burstStagger    = 12 * time.Millisecond
-	playTime        = 55 * time.Second
+	// minArrivalGap and arrivalSpread set the time between two requests, 170 ms on average: the stage server is nearly always busy.
+	minArrivalGap = 110 * time.Millisecond
+	arrivalSpread = 120 * time.Millisecond
+	playTime      = 60 * time.Second
 )
 
 // result of a stage, held by its server.
@@ -49,7 +51,7 @@
 // stageAnswers checks MIXED for inputs. A stage server sometimes writes an answer a second time, late.
 func stageAnswers(d *deployment) (bool, error) {
 	p := &stagePlay{d: d, results: make(map[string]*stageResult), makers: make(map[string]string)}
-	stageServer, err := d.newServer("i-prep-1", "prep", 21, 2, nil)
+	stageServer, err := d.newServer("i-prep-1", "prep", 21, 1, nil)
 	if err != nil {
 		return false, err
 	}
@@ -73,7 +75,7 @@
 	if err := eventually(startTimeout, probe); err != nil {
 		return false, err
 	}
-	served, failed := p.sendBursts()
+	served, failed := p.sendRequests()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	d.record("answers of the stage server: %d, written a second time: %d; requests served: %d, failed: %d; runs at the model server: %d", p.answers, p.extras, served, failed, p.ran)
@@ -97,7 +99,7 @@
 				"Slots": 128, "KvCapacityTokens": 262108, "KvTokenBytes": 131072, "LinkMbps": 550000.0, "Stride": 3, "HandleS": 5.0, "Models": []map[string]any{{"Name": "m"}},
 			}},
 			{"Name": "prep", "HealthPath": "/health", "MaxConnections": 620, "Protocol": "h1", "Tls": false, "Pieces": map[string]any{
-				"Slots": 2, "Queue": 2, "Batch": 8, "CallMs": 150.0, "ItemMs": 16.0, "HeadroomMb": 36.0, "HandleS": 4.0, "LinkMbps": 10000,
+				"Slots": 1, "Queue": 2, "Batch": 8, "CallMs": 150.0, "ItemMs": 16.0, "HeadroomMb": 36.0, "HandleS": 4.0, "LinkMbps": 10000,
 			}},
 		},
 		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
@@ -111,35 +113,31 @@
 	}
 }
 
-// sendBursts sends two and three requests by turns, those of a burst shortly after one another.
-func (p *stagePlay) sendBursts() (served, failed int) {
+// sendRequests sends requests through the entry machines by turns.
+func (p *stagePlay) sendRequests() (served, failed int) {
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	started := time.Now()
-	for burst := 0; time.Since(started) < playTime; burst++ {
-		for k := range 2 + burst%2 {
-			id := fmt.Sprintf("req%05d%08x", burst, burst*16+k)
-			group.Go(func() {
-				time.Sleep(time.Duration(k) * burstStagger)
-				r := stageRequest(id).send(p.d.entries[0])
-				p.d.record("client: request %s answered: status %d, %d bytes, error %v", id, r.status, len(r.body), r.err)
-				mu.Lock()
-				defer mu.Unlock()
-				if r.status == http.StatusOK && r.err == nil {
-					served++
-				} else {
-					failed++
-				}
-			})
-		}
-		time.Sleep(burstGap)
+	for n := 0; time.Since(started) < playTime; n++ {
+		id := fmt.Sprintf("req%05d%08x", n, n)
+		group.Go(func() {
+			r := stageRequest(id).send(p.d.entries[n%len(p.d.entries)])
+			p.d.record("client: request %s answered: status %d, %d bytes, error %v", id, r.status, len(r.body), r.err)
+			mu.Lock()
+			defer mu.Unlock()
+			if r.status == http.StatusOK && r.err == nil {
+				served++
+			} else {
+				failed++
+			}
+		})
+		time.Sleep(minArrivalGap + rand.N(arrivalSpread))
 	}
 	group.Wait()
 	return served, failed
 }
 
-// answerStage runs a call of the stage server. With trouble, it keeps a copy of one answer in answersPerExtra, which is written
-// where the next response on the channel is expected.
+// answerStage runs a call of the stage server. With trouble, it writes one answer in answersPerExtra again, extraDelay later.
 func (p *stagePlay) answerStage(s *server, c *channel, r *http.Request, body []byte) []byte {
 	switch r.URL.Path {
 	case "/stage-run":
@@ -199,9 +197,9 @@
 	p.answers++
 	p.d.record("stage server: channel %s: answer %d: %s", c.RemoteAddr(), p.answers, strings.Join(log, ", "))
 	if p.d.trouble && p.answers%answersPerExtra == 0 {
-		c.pending = answer
+		c.extra = answer
 		p.extras++
-		p.d.record("stage server: channel %s: answer %d will be written again where the next response is expected", c.RemoteAddr(), p.answers)
+		p.d.record("stage server: channel %s: answer %d will be written again", c.RemoteAddr(), p.answers)
 	}
 	return answer
 }
