--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -57,5 +57,5 @@
 		return result{err: err}
 	}
 	body, err := io.ReadAll(r.Body)
-	return result{status: r.StatusCode, seal: r.Header.Get("Server-Seal"), body: body, err: err}
+	return result{status: r.StatusCode, seal: r.Header.Get(protocol.Seal), body: body, err: err}
 }
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -116,7 +115,7 @@
 }
 
 // startMachines starts control and entry machines and waits until the entry machines are ready for the configuration.
-func (d *deployment) startMachines(controls, entries int, configuration map[string]any) error {
+func (d *deployment) startMachines(controls, entries int, configuration []byte) error {
 	var seeds []string
 	for i := range controls {
 		m := d.newMachine(fmt.Sprintf("core-%d", i+1), i+1, i, "deploy/control.yaml")
@@ -216,16 +215,12 @@
 }
 
 // putConfiguration sends a configuration to one control machine after another until one acknowledges it.
-func (d *deployment) putConfiguration(configuration map[string]any) error {
-	body, err := json.Marshal(configuration)
-	if err != nil {
-		return err
-	}
+func (d *deployment) putConfiguration(configuration []byte) error {
 	next := 0
 	return eventually(startTimeout, func() error {
 		m := d.controls[next%len(d.controls)]
 		next++
-		status, err := call(http.MethodPut, "http://"+m.settings["Listen.Control"]+"/config", body)
+		status, err := call(http.MethodPut, "http://"+m.settings["Listen.Control"]+"/config", configuration)
 		if err != nil || status != http.StatusOK {
 			return fmt.Errorf("%s did not acknowledge the configuration: status %d, %v", m.name, status, err)
 		}
--- a/review/standin/half_closed.go
+++ b/review/standin/half_closed.go
@@ -30,9 +30,9 @@
 			return false, err
 		}
 		s.answer = func(_ *channel, r *http.Request, _ []byte) []byte {
-			if r.Header.Get("Request-Id") != "" {
+			if r.Header.Get(protocol.RequestID) != "" {
 				time.Sleep(longOrder)
-				d.record("%s: order %s was run", s.id, r.Header.Get("Request-Id"))
+				d.record("%s: order %s was run", s.id, r.Header.Get(protocol.RequestID))
 			}
 			return []byte(s.response(http.StatusOK, sealed(r), "done"))
 		}
--- a/review/standin/leave.go
+++ b/review/standin/leave.go
@@ -74,21 +74,9 @@
 	return nil
 }
 
-func ordersConfiguration() map[string]any {
-	return map[string]any{
-		"Version": 3,
-		"Routes": []map[string]any{{
-			"Name": "r-order", "Host": clientHost, "PathPrefix": "/order/", "RouteType": "non_idempotent", "TimeoutMs": 1500, "TargetLatencyMs": 300,
-			"Priority": 2, "Service": "desk", "MaxAttempts": 1, "Public": true, "SessionAffinity": false, "StreamResume": false, "TargetGapMs": 0,
-		}},
-		"Services": []map[string]any{{"Name": "desk", "HealthPath": "/health", "MaxConnections": 100, "Protocol": "h1", "Tls": false}},
-		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-	}
-}
-
 // answer runs an order. It notes an order that reaches the server later than the bound after its departure.
 func (p *ordersPlay) answer(o *orderServer, r *http.Request) []byte {
-	id := r.Header.Get("Request-Id")
+	id := r.Header.Get(protocol.RequestID)
 	if id == "" {
 		return []byte(o.response(http.StatusOK, "Instance-Id: "+o.id+"\r\n", ""))
 	}
@@ -121,7 +109,7 @@
 
 // begin starts the machines and the servers and waits until all servers get orders.
 func (p *ordersPlay) begin() error {
-	if err := p.d.startMachines(3, 2, ordersConfiguration()); err != nil {
+	if err := p.d.startMachines(3, 2, ordersConfiguration); err != nil {
 		return err
 	}
 	for i, s := range p.servers {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -101,7 +101,7 @@
 		if err != nil {
 			return
 		}
-		if target := r.Header.Get("Target-Instance"); target != "" && target != s.id {
+		if target := r.Header.Get(protocol.Target); target != "" && target != s.id {
 			_, _ = io.WriteString(c, s.response(http.StatusMisdirectedRequest, "Instance-Id: "+s.id+"\r\n", ""))
 			continue
 		}
@@ -129,7 +129,7 @@
 
 // sealed returns the headers that a server sets on an answer of its own to a request.
 func sealed(r *http.Request) string {
-	id := r.Header.Get("Request-Id")
+	id := r.Header.Get(protocol.RequestID)
 	return "Request-Id: " + id + "\r\nServer-Seal: seal-" + id + "\r\n"
 }
 
@@ -147,7 +147,7 @@
 		return false
 	}
 	m := s.d.controls[index%len(s.d.controls)]
-	status, err := call(http.MethodPut, "http://"+m.settings["Listen.Control"]+"/instances/"+s.id, body)
+	status, err := call(http.MethodPut, "http://"+m.settings["Listen.Control"]+protocol.InstancesPath+s.id, body)
 	if err != nil || status != http.StatusOK {
 		return false
 	}
@@ -193,7 +193,7 @@
 
 // leave says at a control machine that the server is gone, and returns whether that was acknowledged.
 func (s *server) leave(m *machine) bool {
-	status, err := call(http.MethodDelete, "http://"+m.settings["Listen.Control"]+"/instances/"+s.id, nil)
+	status, err := call(http.MethodDelete, "http://"+m.settings["Listen.Control"]+protocol.InstancesPath+s.id, nil)
 	s.d.record("%s: DELETE /instances/%s at %s: status %d, error %v", s.id, s.id, m.name, status, err)
 	return err == nil && status == http.StatusOK
 }
--- a/review/standin/stage_answers.go
+++ b/review/standin/stage_answers.go
@@ -61,7 +61,7 @@
 		return false, err
 	}
 	model.answer = func(c *channel, r *http.Request, _ []byte) []byte { return p.answerModel(model, c, r) }
-	if err := d.startMachines(3, 2, stageConfiguration()); err != nil {
+	if err := d.startMachines(3, 2, stagesConfiguration); err != nil {
 		return false, err
 	}
 	stageServer.startBeats()
@@ -86,30 +86,10 @@
 	return p.foreignLive > 0, nil
 }
 
-func stageConfiguration() map[string]any {
-	return map[string]any{
-		"Version": 3,
-		"Routes": []map[string]any{{
-			"Name": "r-notice", "Host": clientHost, "PathPrefix": "/notice/", "RouteType": "streaming", "TimeoutMs": 8000, "TargetLatencyMs": 1900,
-			"Priority": 0, "Service": "model", "MaxAttempts": 2, "Public": true, "SessionAffinity": true, "StreamResume": true, "TargetGapMs": 500,
-			"Stages": []map[string]any{{"Service": "prep", "After": []int{}, "Bytes": 8000}},
-		}},
-		"Services": []map[string]any{
-			{"Name": "model", "HealthPath": "/health", "MaxConnections": 620, "Protocol": "h1", "Tls": false, "Engine": map[string]any{
-				"Slots": 128, "KvCapacityTokens": 262108, "KvTokenBytes": 131072, "LinkMbps": 550000.0, "Stride": 3, "HandleS": 5.0, "Models": []map[string]any{{"Name": "m"}},
-			}},
-			{"Name": "prep", "HealthPath": "/health", "MaxConnections": 620, "Protocol": "h1", "Tls": false, "Pieces": map[string]any{
-				"Slots": 1, "Queue": 2, "Batch": 8, "CallMs": 150.0, "ItemMs": 16.0, "HeadroomMb": 36.0, "HandleS": 4.0, "LinkMbps": 10000,
-			}},
-		},
-		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-	}
-}
-
 func stageRequest(id string) *request {
 	return &request{
 		id: id, method: http.MethodPost, path: "/notice/1", deadline: 8 * time.Second, body: "notice",
-		headers: map[string]string{"Model": "m", "Token-Usage": "400,40", "Prompt-Prefix": "5c1e07a2:300," + id[len(id)-8:] + ":100", "Piece-Count": "1", "Piece-Key": id},
+		headers: map[string]string{"Model": "m", protocol.Tokens: "400,40", protocol.Prefix: "5c1e07a2:300," + id[len(id)-8:] + ":100", protocol.Pieces: "1", protocol.PieceKey: id},
 	}
 }
 
@@ -140,9 +120,9 @@
 // answerStage runs a call of the stage server. With trouble, it writes one answer in answersPerExtra again, extraDelay later.
 func (p *stagePlay) answerStage(s *server, c *channel, r *http.Request, body []byte) []byte {
 	switch r.URL.Path {
-	case "/stage-run":
+	case protocol.RunPath:
 		return p.runStage(s, c, body)
-	case "/stage-free":
+	case protocol.FreePath:
 		var call struct{ Handles []string }
 		if json.Unmarshal(body, &call) != nil {
 			return []byte(s.response(http.StatusBadRequest, "Not-Executed: 1\r\n", ""))
@@ -206,11 +186,11 @@
 
 // answerModel runs a request of the model server, if all its inputs exist.
 func (p *stagePlay) answerModel(s *server, c *channel, r *http.Request) []byte {
-	id := r.Header.Get("Request-Id")
+	id := r.Header.Get(protocol.RequestID)
 	if r.Method == http.MethodGet || id == "" {
 		return []byte(s.response(http.StatusOK, "Instance-Id: "+s.id+"\r\n", ""))
 	}
-	inputs, present := r.Header["Input-Count"]
+	inputs, present := r.Header[protocol.Inputs]
 	if !present {
 		return []byte(s.response(http.StatusBadRequest, "Not-Executed: 1\r\nRequest-Id: "+id+"\r\n", ""))
 	}
