--- a/review/standin/leave.go
+++ b/review/standin/leave.go
@@ -11,8 +11,8 @@
 const (
 	orderWork     = 20 * time.Millisecond
 	orderDeadline = 3 * time.Second
-	leaves        = 5
-	orderServers  = 12
+	leaves        = 7
+	orderServers  = 15
 	// reportToLeave is the time from a server's last status report to its DELETE.
 	reportToLeave = 100 * time.Millisecond
 	// afterDrain is how long after the bound the clients send their next requests.
