event: drop lines that are written after the log was closed

Cause: Run closes the log's queue on its way out while requests that outlived the stop are still answered. Queue.Write then sends on the closed channel; the panic makes net/http close the connection with the buffered answer unsent. Evidence: the stack of the panic in the VM's output, 0.001 s after the stage of the request ended with a refusal and before its line 505. Not the cause: the deadline (15 s, 6.9 s used), the endpoints (never sent).

Write now drops and counts such lines under a lock that Close takes. TestWriteAfterCloseDoesNotPanic failed before with the same panic.

--- a/event/queue.go
+++ b/event/queue.go
@@ -17,6 +17,9 @@
 	unreported atomic.Int64 // lines dropped since the last LinesDropped event
 	dropped    atomic.Int64
 	wg         sync.WaitGroup
+
+	mu     sync.RWMutex // guards closed and the closing of lines
+	closed bool
 }
 
 // NewQueue returns a queue that writes to w in a goroutine until Close.
@@ -26,17 +29,30 @@
 	return q
 }
 
-// Write queues a copy of one line. It never fails; if the queue is full, the line is dropped.
+// Write queues a copy of one line. It never fails; if the queue is full or closed, the line is dropped.
 func (q *Queue) Write(line []byte) (int, error) {
-	select {
-	case q.lines <- append([]byte(nil), line...):
-	default:
+	if !q.enqueue(line) {
 		q.unreported.Add(1)
 		q.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// enqueue queues a copy of one line and reports whether there was room for it.
+func (q *Queue) enqueue(line []byte) bool {
+	q.mu.RLock()
+	defer q.mu.RUnlock()
+	if q.closed {
+		return false
+	}
+	select {
+	case q.lines <- append([]byte(nil), line...):
+		return true
+	default:
+		return false
+	}
+}
+
 // Dropped returns the total number of lines dropped by Write.
 func (q *Queue) Dropped() int64 {
 	return q.dropped.Load()
@@ -62,8 +78,11 @@
 	}
 }
 
-// Close writes the queued lines and stops. Write must not be called after it.
+// Close writes the queued lines and stops. Lines written after it are dropped.
 func (q *Queue) Close() {
+	q.mu.Lock()
+	q.closed = true
 	close(q.lines)
+	q.mu.Unlock()
 	q.wg.Wait()
 }
--- a/event/queue_test.go
+++ b/event/queue_test.go
@@ -66,3 +66,26 @@
 type failingWriter struct{}
 
 func (failingWriter) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+
+// A request that is answered while its VM exits logs after Close. The line is dropped; a panic here would lose the answer too.
+func TestWriteAfterCloseDoesNotPanic(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	q := NewQueue(&out)
+	var wg sync.WaitGroup
+	start := make(chan struct{})
+	for range 4 {
+		wg.Go(func() {
+			<-start
+			for range queueLines {
+				n, err := q.Write([]byte("line\n"))
+				is.Equal(n, len("line\n"))
+				is.NoErr(err)
+			}
+		})
+	}
+	close(start)
+	q.Close()
+	wg.Wait()
+	is.Equal(int64(strings.Count(out.String(), "line\n"))+q.Dropped(), int64(4*queueLines))
+}
