gateway, stop: answer every request before a stopping VM exits

Cause: a request ended at its own deadline only, which may be later than the process.

A stop now has a schedule that bounds the requests in progress: in stages until too little time is left for a run on their route (503, not run), at endpoints until half a second before the process ends (504). Responses that have begun are not bounded.

TestStopRefusesRequestsInStages and TestStopAnswersRequestsAtEndpoints failed before: 'got no complete response: unexpected EOF' for each request. Both kill the process at the end of its grace, as the platform does.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"godwitplank/setting"
 	"godwitplank/spend"
 	"godwitplank/stage"
+	"godwitplank/stop"
 	"godwitplank/telemetry"
 	"godwitplank/timer"
 	"godwitplank/workspace"
@@ -63,6 +64,7 @@
 	meter           *telemetry.Meter
 	optionalServers []*http.Server
 	notice          stopNotice
+	stop            stop.Schedule
 	control         *control.Control
 	routes          *routeServer
 	entry           *entry.Server
@@ -76,8 +78,8 @@
 // Run serves until ctx ends, SIGTERM or SIGINT arrives, or a planned stop of this VM is due, and then drains
 // requests in flight. It returns nil after such a stop, and an error if a component fails.
 func (d *Daemon) Run(ctx context.Context) error {
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx, stopNotify := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stopNotify()
 	s := d.Settings
 	incarnation := uint64(timer.System.Now().UnixNano())
 	d.output = event.NewQueue(d.LogOutput)
@@ -157,7 +159,7 @@
 		Clock: timer.System, Meter: meter, Log: d.log, OnSpend: tally.Add,
 	}
 	if s.RoutesAddr.IsValid() {
-		d.routes = newRouteServer(s, d.control, meter, d.log)
+		d.routes = newRouteServer(s, d.control, &d.stop, meter, d.log)
 		d.control.Pieces = d.routes.broker
 	}
 	d.entry = &entry.Server{
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -20,6 +20,7 @@
 	"godwitplank/retry"
 	"godwitplank/route"
 	"godwitplank/setting"
+	"godwitplank/stop"
 	"godwitplank/telemetry"
 	"godwitplank/timer"
 )
@@ -59,7 +60,7 @@
 	return d.Service(name)
 }
 
-func newRouteServer(s *setting.Settings, c *control.Control, meter *telemetry.Meter, log event.Logger) *routeServer {
+func newRouteServer(s *setting.Settings, c *control.Control, schedule *stop.Schedule, meter *telemetry.Meter, log event.Logger) *routeServer {
 	pool := &connection.Pool{Clock: timer.System, OnOpen: meter.RecordConnection}
 	budget := &retry.Budget{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window}
 	reachability := &route.Reachability{}
@@ -70,7 +71,7 @@
 		gateway: &gateway.Gateway{
 			DataCentre: s.DataCentre, Views: c, Protocol: platform.RequestProtocol{}, Pieces: broker, ResultAddr: platform.PieceProtocol{}.HolderAddr,
 			Policy:   route.Policies[s.Policy](),
-			Prefixes: &route.PrefixIndex{}, Reach: reachability, Crashes: c.Crashes, Budget: budget, Pool: pool, Clock: timer.System, Meter: meter, Log: log,
+			Prefixes: &route.PrefixIndex{}, Reach: reachability, Crashes: c.Crashes, Budget: budget, Pool: pool, Stop: schedule, Clock: timer.System, Meter: meter, Log: log,
 		},
 	}
 }
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"godwitplank/event"
+	"godwitplank/stop"
 	"godwitplank/timer"
 )
 
@@ -24,6 +25,9 @@
 	finalExchangePeriod = 1200 * time.Millisecond
 	// exitMargin is the part of stop_grace that is reserved for the exit of the process.
 	exitMargin = 400 * time.Millisecond
+	// Requests have their answers answerMargin, or 1/answerMarginDivisor of the drain timeout if that is shorter, before it.
+	answerMargin        = 500 * time.Millisecond
+	answerMarginDivisor = 10
 )
 
 // stopNotice asks callers to close their connections once a stop has begun.
@@ -60,8 +64,10 @@
 	if d.Settings.StopGrace > 0 {
 		notice = min(boundedNoticePeriod, d.Settings.StopGrace/2)
 	}
+	timeout := d.drainTimeout()
+	d.stop.Begin(stop.Times{NoticeEnds: started.Add(notice), AnswerBy: started.Add(timeout - min(answerMargin, timeout/answerMarginDivisor))})
 	_ = timer.Wait(ctx, notice)
-	ctx, cancel := context.WithDeadline(ctx, started.Add(d.drainTimeout()))
+	ctx, cancel := context.WithDeadline(ctx, started.Add(timeout))
 	defer cancel()
 	var wg sync.WaitGroup
 	for _, s := range servers {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -182,7 +182,7 @@
 		return nil
 	}
 	if ctx.Err() != nil {
-		return ctx.Err()
+		return context.Cause(ctx)
 	}
 	if fault.Is(o.err) || x.possibleRuns > 0 || !x.firstByteAt.IsZero() || errors.Is(o.err, context.DeadlineExceeded) {
 		return o.err
@@ -394,6 +394,7 @@
 		h[name] = values
 	}
 	x.firstByteAt = g.Clock.Now()
+	x.answerBound.Lift()
 	x.status = r.status
 	x.w.WriteHeader(r.status)
 	_, _ = x.w.Write(r.body)
@@ -409,6 +410,7 @@
 	switch {
 	case o.err == nil:
 		stats.Succeed(elapsed, a.slowdown)
+		g.runs.observe(x.route.Name, elapsed)
 		if stats.EndQuiet(now) {
 			g.Log.Log(event.EndpointQuietEnded, "endpoint", a.candidate.ID, "incarnation", a.candidate.Incarnation)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"godwitplank/piece"
 	"godwitplank/retry"
 	"godwitplank/route"
+	"godwitplank/stop"
 	"godwitplank/telemetry"
 	"godwitplank/timer"
 )
@@ -42,12 +43,15 @@
 	Crashes    *crash.Tracker
 	Budget     *retry.Budget
 	Pool       *connection.Pool
-	Clock      timer.Clock
-	Meter      *telemetry.Meter
-	Log        event.Logger
+	// Stop is the schedule of this VM's graceful stop; nil for a VM that never stops gracefully.
+	Stop  *stop.Schedule
+	Clock timer.Clock
+	Meter *telemetry.Meter
+	Log   event.Logger
 
 	inFlight atomic.Int64
 	delays   delayEstimator
+	runs     runEstimator
 }
 
 // defaultMaxBodyBytes is the request body limit if the document sets none.
@@ -89,6 +93,8 @@
 	tried        []string
 	// firstByteAt is when the response to the caller started; zero before that.
 	firstByteAt time.Time
+	// answerBound ends the attempts before this VM's process ends, unless the response to the caller has started.
+	answerBound *stop.Bound
 	// status is the HTTP status sent to the caller.
 	status int
 }
@@ -183,9 +189,11 @@
 	if q := g.findQuarantine(x); q != nil {
 		return g.refuseQuarantined(x, q)
 	}
-	if err := g.runStages(ctx, x); err != nil {
+	if err := g.runStagesBeforeStop(ctx, x); err != nil {
 		return err
 	}
+	ctx, x.answerBound = g.Stop.Bound(ctx, g.Clock, func(t stop.Times) time.Time { return t.AnswerBy })
+	defer x.answerBound.Release()
 	return g.forward(ctx, x)
 }
 
@@ -215,6 +223,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return fault.New(fault.ClientDisconnected, "the caller disconnected before the response was complete")
+	case errors.Is(err, stop.ErrStopping):
+		return stoppingFault(x)
 	case fault.Is(err) && x.possibleRuns == 0 && stageFaultKinds[fault.As(err).Kind]:
 		retryAfter := noEndpointRetryAfter
 		if known := fault.As(err).RetryAfterMS; known > 0 {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -138,6 +138,7 @@
 		h[name] = values
 	}
 	x.firstByteAt = g.Clock.Now()
+	x.answerBound.Lift()
 	if !x.stagesDoneAt.IsZero() && x.attempts == 1 {
 		g.delays.observe(x.route.Name, x.firstByteAt.Sub(x.stagesDoneAt)-idleTimeToFirstByte)
 	}
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -19,6 +19,9 @@
 	linkPort, operatorsPort, routesPort, readyPort, controlPort, metricsPort = 7740, 7741, 8625, 8621, 8628, 9464
 )
 
+// stopGrace is the time that a VM has to exit after SIGTERM. The platform then kills it.
+const stopGrace = 6 * time.Second
+
 // binDir is the directory of the godwitplankd binary that TestMain builds.
 var binDir string
 
@@ -71,7 +74,7 @@
 	lines := []string{
 		"vm: " + quote(p.ip), "data_centre: " + quote(p.zone), "link_addr: " + quote(p.addr(linkPort)),
 		"operators_addr: " + quote(p.addr(operatorsPort)), "join: " + quote(strings.Join(joinAddrs, ",")),
-		"metrics_addr: " + quote(p.addr(metricsPort)), `spare_after: "2s"`, `stop_grace: "6s"`, `hubs_only: "true"`, `retry_slack: "50"`,
+		"metrics_addr: " + quote(p.addr(metricsPort)), `spare_after: "2s"`, "stop_grace: " + quote(stopGrace.String()), `hubs_only: "true"`, `retry_slack: "50"`,
 	}
 	if p.isControl {
 		lines = append(lines, `callers_addr: ""`, "control_addr: "+quote(p.addr(controlPort)), "data_dir: "+quote(p.dataDir), fmt.Sprintf("bootstrap: %q", fmt.Sprint(bootstrap)))
@@ -142,6 +145,25 @@
 	}
 }
 
+// stop sends SIGTERM, and SIGKILL if the process is still there after stopGrace. It reports whether the process exited by
+// itself.
+func (p *process) stop() bool {
+	p.signal(syscall.SIGTERM)
+	p.mu.Lock()
+	exited, running := p.exited, p.cmd != nil
+	p.mu.Unlock()
+	if !running {
+		return true
+	}
+	select {
+	case <-exited:
+		return true
+	case <-time.After(stopGrace):
+		p.kill()
+		return false
+	}
+}
+
 // pid returns the process ID. The process must be running.
 func (p *process) pid() int {
 	p.mu.Lock()
--- a/soak/standin_test.go
+++ b/soak/standin_test.go
@@ -25,7 +25,7 @@
 	reset, refuse, fail float64
 	// quiet is the share of the refused requests with a time without calls.
 	quiet float64
-	// extraLatency is added to every stage call.
+	// extraLatency is added to every call.
 	extraLatency time.Duration
 	// truncate closes the connection in the middle of an event, stall sends no more events but keeps the connection open; both
 	// are spread over the events of a stream.
@@ -214,7 +214,10 @@
 		s.stream(w, r, id)
 		return
 	}
-	time.Sleep(10 * time.Millisecond)
+	s.mu.Lock()
+	extraLatency := s.rates.extraLatency
+	s.mu.Unlock()
+	time.Sleep(extraLatency + 10*time.Millisecond)
 	switch {
 	case s.shouldInject(func(r faultRates) float64 { return r.reset }):
 		panic(http.ErrAbortHandler)
