piece: cancel the calls in flight when the dispatcher ends

Serve waited for the calls in flight, each of which may take its full timeout: over a second for a stage of 150 ms a call and 16 ms a piece, where 0.4 s of the grace are left.

The calls now have a context that ends with Serve. TestServeEndsWithCallsInFlight failed before ('Serve waits for the calls in flight').

--- a/piece/call.go
+++ b/piece/call.go
@@ -19,7 +19,7 @@
 	started := d.Clock.Now()
 	predicted := PredictCallTime(s, len(units))
 	timeout := time.Duration(float64(predicted)*state.slowdown)*callTimeoutFactor + callTimeoutMargin
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	ctx, cancel := context.WithTimeout(d.calls, timeout)
 	defer cancel()
 	items := make([]Item, len(units))
 	for i, u := range units {
--- a/piece/dispatch.go
+++ b/piece/dispatch.go
@@ -38,7 +38,7 @@
 func (d *Dispatcher) dispatch(service string, q *queue) {
 	now := d.Clock.Now()
 	s := d.Services.Service(service)
-	if q.units == 0 || s == nil || s.Batch == nil {
+	if q.units == 0 || s == nil || s.Batch == nil || d.calls.Err() != nil {
 		return
 	}
 	available, servedDCs := d.availableEndpoints(now, s)
--- a/piece/dispatcher.go
+++ b/piece/dispatcher.go
@@ -75,6 +75,9 @@
 	held         map[string]*heldResult      // by handle
 	flushSignal  chan struct{}
 	group        sync.WaitGroup
+	// calls is the context of the calls to endpoints; endCalls ends it.
+	calls    context.Context
+	endCalls context.CancelFunc
 }
 
 // endpointState is the load and health of one endpoint incarnation.
@@ -92,20 +95,25 @@
 
 // NewDispatcher returns a Dispatcher. Run Serve for retries and for freeing results.
 func NewDispatcher(services Services, protocol Protocol, pool *connection.Pool, budget *retry.Budget, reachability *route.Reachability, clock timer.Clock, meter *telemetry.Meter, log event.Logger) *Dispatcher {
+	calls, endCalls := context.WithCancel(context.Background())
 	return &Dispatcher{
 		Services: services, Protocol: protocol, Pool: pool, Budget: budget, Reach: reachability, Clock: clock, Meter: meter, Log: log,
 		queues: make(map[string]*queue), endpoints: make(map[connection.Key]*endpointState), pendingFrees: make(map[netip.AddrPort][]string),
 		held: make(map[string]*heldResult), flushSignal: make(chan struct{}, 1),
+		calls: calls, endCalls: endCalls,
 	}
 }
 
-// Serve dispatches the queues every dispatchInterval and sends queued frees. It returns when ctx ends and all calls in
-// flight are done.
+// Serve dispatches the queues every dispatchInterval and sends queued frees. When ctx ends, it cancels the calls in flight
+// and returns.
 func (d *Dispatcher) Serve(ctx context.Context) {
 	ticks := timer.Subscribe(ctx, dispatchInterval)
 	for {
 		select {
 		case <-ctx.Done():
+			d.mu.Lock() // no call starts after this
+			d.endCalls()
+			d.mu.Unlock()
 			d.group.Wait()
 			return
 		case <-ticks:
--- a/piece/dispatcher_test.go
+++ b/piece/dispatcher_test.go
@@ -308,3 +308,32 @@
 	is.NoErr(<-ends)
 	group.Wait()
 }
+
+// Calls in flight at the end of a VM's stop delayed its exit beyond its grace, so that the process was killed.
+func TestServeEndsWithCallsInFlight(t *testing.T) {
+	e := newEndpoint(t, "e-1")
+	called, release := make(chan struct{}, 1), make(chan struct{})
+	defer close(release)
+	e.respond = func(http.ResponseWriter, int, []Item) bool {
+		called <- struct{}{}
+		<-release
+		return false
+	}
+	d := NewDispatcher(services{e}, protocol{}, &connection.Pool{Clock: timer.System}, &retry.Budget{Window: 10 * time.Second}, &route.Reachability{}, timer.System, nil, event.Logger{})
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan struct{})
+	var group sync.WaitGroup
+	t.Cleanup(group.Wait)
+	group.Go(func() {
+		d.Serve(ctx)
+		close(served)
+	})
+	group.Go(func() { _, _ = d.Run(t.Context(), newJob("r", 1)) })
+	<-called
+	cancel()
+	select {
+	case <-served:
+	case <-time.After(callTimeoutMargin / 2):
+		t.Error("Serve waits for the calls in flight")
+	}
+}
