gateway: refuse requests that a stop leaves no time for

Reported by another operator, and possible here: orders that came late in the grace of a planned stop were passed on and cut.

Cause: a new request was admitted without a look at the time that the stop leaves; the listener closes 2.8 s after the SIGTERM, but a body may come later than its header.

A request that may outlast the stop is now refused at once, by the expected duration of its stages and of runs on its route during the notice period, by its deadline after that.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -189,6 +189,9 @@
 	if q := g.findQuarantine(x); q != nil {
 		return g.refuseQuarantined(x, q)
 	}
+	if g.endsAfterStop(x) {
+		return stoppingFault(x)
+	}
 	if err := g.runStagesBeforeStop(ctx, x); err != nil {
 		return err
 	}
--- a/gateway/stage.go
+++ b/gateway/stage.go
@@ -180,6 +180,18 @@
 	return idleTimeToFirstByte + g.delays.estimate(x.route.Name)
 }
 
+// expectedStages returns the expected time from the start of the stages to the first byte of the response, 0 for a request
+// without stages.
+func (g *Gateway) expectedStages(x *exchange) time.Duration {
+	longest := time.Duration(0)
+	for i, s := range x.route.Stages {
+		if len(s.After) == 0 && i < len(x.Pieces) && x.Pieces[i] > 0 {
+			longest = max(longest, g.predictedDuration(x, i)+g.delays.estimate(s.Service)+g.remainingDuration(x, i))
+		}
+	}
+	return longest
+}
+
 // largeResultBytes is the size from which results should stay in one data centre.
 const largeResultBytes = 1 << 20
 
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -20,6 +20,19 @@
 	return g.runStages(ctx, x)
 }
 
+// endsAfterStop reports whether a new request, whose body may have come late, may outlast this VM's stop. While the load
+// balancer still sends requests, those that are expected to end in time are accepted; after that, only those whose deadline
+// ends in time.
+func (g *Gateway) endsAfterStop(x *exchange) bool {
+	t, stopping := g.Stop.Times()
+	if !stopping || !x.deadline.After(t.AnswerBy) {
+		return false
+	}
+	now := g.Clock.Now()
+	expectedEnd := now.Add(g.expectedStages(x) + g.expectedRun(x))
+	return !now.Before(t.NoticeEnds) || expectedEnd.After(t.AnswerBy)
+}
+
 // expectedRun returns how long the run of the request at an endpoint is expected to take at most. A route without completed
 // runs counts as taking until the request's deadline.
 func (g *Gateway) expectedRun(x *exchange) time.Duration {
