control, state: record departures in the replicated log before they are acknowledged

Cause: the departure was a mark in that VM's memory; an endpoint that has sent its DELETE announces itself no more. A last announcement with the state draining was lost alike, on the platform's interface and on the own one.

The VM that hears of a departure marks the endpoint at once and proposes the departure to the group; it acknowledges once that is committed. Every control VM marks the endpoint when it applies the command, after a restart too, and the exchange takes it to the entry VMs. Without a majority the answer is now 503.

--- a/control/announce.go
+++ b/control/announce.go
@@ -10,10 +10,11 @@
 	"godwitplank/event"
 	"godwitplank/fault"
 	"godwitplank/link"
+	"godwitplank/state"
 )
 
-// Announce handles an announcement that an endpoint sent to this VM. It returns the endpoint's lease, or an error of
-// kind BadRequest, NoDocument, WrongToken or EndpointConflict.
+// Announce handles an announcement that an endpoint sent to this VM. It returns the endpoint's lease, once a departure that
+// is announced is recorded, or an error of kind BadRequest, NoDocument, WrongToken, EndpointConflict or NoQuorum.
 func (c *Control) Announce(ctx context.Context, a godwitplank.Announcement, tokenSHA256 string) (godwitplank.Lease, error) {
 	addr, err := endpoint.Check(&a)
 	if err != nil {
@@ -22,11 +23,19 @@
 	e := endpoint.Entry{Announcement: a, TokenSHA256: tokenSHA256, Addr: addr, Source: endpoint.Direct}
 	var lease godwitplank.Lease
 	var failure error
-	err = c.do(ctx, func() { lease, failure = c.handleAnnouncement(e) })
+	var departure *state.Departure
+	err = c.do(ctx, func() {
+		if lease, failure = c.handleAnnouncement(e); failure == nil && a.Leaving {
+			departure = c.unrecordedDeparture(a.EndpointID)
+		}
+	})
+	if err == nil {
+		err = failure
+	}
 	if err != nil {
 		return lease, err
 	}
-	return lease, failure
+	return lease, c.commitDeparture(ctx, departure)
 }
 
 func (c *Control) handleAnnouncement(e endpoint.Entry) (godwitplank.Lease, error) {
--- a/control/bootstrap_test.go
+++ b/control/bootstrap_test.go
@@ -27,16 +27,21 @@
 
 // openControl initializes a Control on a data folder as the daemon does.
 func openControl(t *testing.T, dir string, linkAddr netip.AddrPort, bootstrap bool) *Control {
+	t.Helper()
+	return openSeededControl(t, dir, linkAddr, bootstrap, threeSeeds)
+}
+
+func openSeededControl(t *testing.T, dir string, linkAddr netip.AddrPort, bootstrap bool, seeds []netip.AddrPort) *Control {
 	t.Helper()
 	id := "random"
-	if bootstrap && IsSeed(linkAddr, threeSeeds) {
+	if bootstrap && IsSeed(linkAddr, seeds) {
 		id = SeedReplicaID(linkAddr)
 	}
 	folder, err := disk.OpenWithReplicaID(dir, linkAddr.Addr().String(), id)
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &Control{Name: linkAddr.Addr().String(), LinkAddr: linkAddr, Join: threeSeeds, Bootstrap: bootstrap, Folder: folder, Clock: timer.System}
+	c := &Control{Name: linkAddr.Addr().String(), LinkAddr: linkAddr, Join: seeds, Bootstrap: bootstrap, Folder: folder, Clock: timer.System}
 	if err := c.Init(); err != nil {
 		t.Fatal(err)
 	}
@@ -81,10 +86,28 @@
 func startControl(t *testing.T) *Control {
 	t.Helper()
 	c := newControl(t, "vm-a", 1)
+	runLoop(t, c)
+	return c
+}
+
+// startGroupOfOne runs the control loop of a VM that is the only voter of its group.
+func startGroupOfOne(t *testing.T, dir string) (c *Control, stop func()) {
+	t.Helper()
+	c = openSeededControl(t, dir, threeSeeds[0], true, threeSeeds[:1])
+	return c, runLoop(t, c)
+}
+
+// runLoop runs a control loop until the test ends or the returned function is called.
+func runLoop(t *testing.T, c *Control) (stop func()) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	c.wg.Go(func() { c.loop(ctx) })
-	t.Cleanup(func() { cancel(); c.wg.Wait() })
-	return c
+	stop = func() {
+		cancel()
+		c.wg.Wait()
+	}
+	t.Cleanup(stop)
+	return stop
 }
 
 func announcement(id string, incarnation, sequence uint64, address string) godwitplank.Announcement {
@@ -93,7 +116,7 @@
 
 func TestRegister(t *testing.T) {
 	is := is.New(t)
-	c := startControl(t)
+	c, _ := startGroupOfOne(t, t.TempDir())
 	leaving := func(id string) bool {
 		result := false
 		is.NoErr(c.do(t.Context(), func() { result = c.endpoints.Find(id).Leaving }))
@@ -119,6 +142,51 @@
 	is.True(!leaving("e-2"))
 }
 
+// A departure is acknowledged only once it is recorded, whichever way the endpoint announces it. It takes effect before that.
+func TestDepartureNeedsMajority(t *testing.T) {
+	for name, depart := range map[string]func(*Control) error{
+		"delete": func(c *Control) error { return c.Deregister(t.Context(), "e-1") },
+		"draining announcement": func(c *Control) error {
+			a := announcement("e-1", 10, 2, "10.0.0.9:80")
+			a.Leaving = true
+			return c.Register(t.Context(), a)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := startControl(t)
+			is.NoErr(c.Register(t.Context(), announcement("e-1", 10, 1, "10.0.0.9:80")))
+			is.Equal(fault.As(depart(c)).Kind, fault.NoQuorum)
+			is.NoErr(c.do(t.Context(), func() { is.True(c.endpoints.Find("e-1").Leaving) }))
+		})
+	}
+}
+
+// An acknowledged departure is known after a restart, also from a snapshot. It does not outlive the incarnation.
+func TestDepartureSurvivesRestart(t *testing.T) {
+	is := is.New(t)
+	dir := filepath.Join(t.TempDir(), "data")
+	c, stop := startGroupOfOne(t, dir)
+	is.NoErr(c.Register(t.Context(), announcement("e-1", 10, 1, "10.0.0.9:80")))
+	is.NoErr(c.Deregister(t.Context(), "e-1"))
+	for range 2 {
+		stop()
+		is.NoErr(c.replica.log.Close())
+		c, stop = startGroupOfOne(t, dir)
+		is.NoErr(c.Register(t.Context(), announcement("e-1", 10, 7, "10.0.0.9:80")))
+		for leaving := false; !leaving; time.Sleep(time.Millisecond) { // the replica applies its log once it leads
+			is.True(t.Context().Err() == nil)
+			is.NoErr(c.do(t.Context(), func() { leaving = c.endpoints.Find("e-1").Leaving }))
+		}
+		is.NoErr(c.do(t.Context(), func() {
+			snapshot := c.replica.core.Compact(c.replica.applied, c.replica.machine.Image())
+			is.NoErr(c.replica.log.Compact(snapshot, c.replica.core.HardState(), c.replica.core.StoredEntries()))
+		}))
+	}
+	is.NoErr(c.Register(t.Context(), announcement("e-1", 11, 1, "10.0.0.9:80")))
+	is.NoErr(c.do(t.Context(), func() { is.True(!c.endpoints.Find("e-1").Leaving) }))
+}
+
 // That an endpoint is draining reaches VMs that know the endpoint only through other VMs.
 func TestLeavingIsRelayed(t *testing.T) {
 	is := is.New(t)
--- a/control/register.go
+++ b/control/register.go
@@ -8,6 +8,7 @@
 	"godwitplank/endpoint"
 	"godwitplank/event"
 	"godwitplank/fault"
+	"godwitplank/state"
 )
 
 // Lease times of the endpoints of services.
@@ -20,8 +21,8 @@
 	unconfirmedGracePeriod = 60 * time.Second
 )
 
-// Register handles the announcement of an endpoint of a service. A service admits every endpoint that names it. Errors
-// are of kind BadRequest or EndpointConflict.
+// Register handles the announcement of an endpoint of a service. A service admits every endpoint that names it. It returns
+// once a departure that is announced is recorded. Errors are of kind BadRequest, EndpointConflict or NoQuorum.
 func (c *Control) Register(ctx context.Context, a godwitplank.Announcement) error {
 	addr, err := endpoint.Check(&a)
 	if err != nil {
@@ -29,11 +30,19 @@
 	}
 	e := endpoint.Entry{Announcement: a, Addr: addr, Source: endpoint.Direct, OfService: true}
 	var failure error
-	err = c.do(ctx, func() { failure = c.handleRegistration(e) })
+	var departure *state.Departure
+	err = c.do(ctx, func() {
+		if failure = c.handleRegistration(e); failure == nil && a.Leaving {
+			departure = c.unrecordedDeparture(a.EndpointID)
+		}
+	})
+	if err == nil {
+		err = failure
+	}
 	if err != nil {
 		return err
 	}
-	return failure
+	return c.commitDeparture(ctx, departure)
 }
 
 func (c *Control) handleRegistration(e endpoint.Entry) error {
@@ -49,19 +58,24 @@
 	return nil
 }
 
-// Deregister marks an endpoint as draining. It returns an error of kind EndpointUnknown if this VM does not know the
-// endpoint, since it could not inform the other VMs then.
+// Deregister marks an endpoint as draining and returns once that is recorded. Errors are of kind EndpointUnknown if this VM
+// does not know the endpoint, since it could not inform the other VMs then, or NoQuorum.
 func (c *Control) Deregister(ctx context.Context, id string) error {
 	known := false
+	var departure *state.Departure
 	err := c.do(ctx, func() {
 		changed := false
 		if known, changed = c.endpoints.MarkLeaving(id); changed {
 			c.viewStale = true
 			c.Log.Log(event.EndpointDraining, "endpoint", id, "incarnation", c.endpoints.Find(id).Incarnation)
 		}
+		departure = c.unrecordedDeparture(id)
 	})
-	if err == nil && !known {
-		err = fault.New(fault.EndpointUnknown, "endpoint %q is not known to this VM; ask another VM", id)
+	switch {
+	case err != nil:
+		return err
+	case !known:
+		return fault.New(fault.EndpointUnknown, "endpoint %q is not known to this VM; ask another VM", id)
 	}
-	return err
+	return c.commitDeparture(ctx, departure)
 }
--- a/control/replica.go
+++ b/control/replica.go
@@ -113,6 +113,9 @@
 			return
 		}
 		r.applied = out.Restore.Index
+		for _, d := range r.machine.Departures() {
+			c.recordDeparture(d)
+		}
 		c.Log.Log(event.SnapshotInstalled, "index", r.applied)
 	}
 	for _, e := range out.Committed {
@@ -140,6 +143,9 @@
 		panic(fmt.Sprintf("cannot decode entry %d: %v", e.Index, err))
 	}
 	result := r.machine.Apply(command)
+	if d := command.GetDeparture(); d != nil {
+		c.recordDeparture(d)
+	}
 	for _, w := range r.waiters[command.Id] {
 		w <- result
 	}
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -132,6 +132,25 @@
 	return true, true
 }
 
+// RecordDeparture marks an endpoint as draining whose departure was recorded, with its last announcement. An endpoint that
+// this table does not know is added, so that other VMs learn of its departure; a later incarnation is not affected. It
+// reports whether the table changed.
+func (t *Table) RecordDeparture(now time.Time, departed Entry, lease time.Duration) bool {
+	current := t.entries[departed.EndpointID]
+	if current != nil && current.Incarnation >= departed.Incarnation {
+		if current.Incarnation > departed.Incarnation {
+			return false
+		}
+		_, changed := t.MarkLeaving(departed.EndpointID)
+		return changed
+	}
+	if holder := t.entries[t.idsByAddr[departed.Addr]]; holder != nil && holder.EndpointID != departed.EndpointID {
+		return false // the address was reassigned
+	}
+	departed.Leaving, departed.Source = true, Direct
+	return t.Announce(now, departed, lease) == Changed
+}
+
 // put stores an entry. Entries are replaced and never changed, since published views refer to them.
 func (t *Table) put(e *Entry) {
 	t.entries[e.EndpointID] = e
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -32,6 +32,7 @@
 	EndpointQuiet         = Event{407, log.InfoLevel, "endpoint asks for no calls", "endpoint, incarnation, quiet_ms, source, request_id", "if it repeats, the endpoint is overloaded: add endpoints of its service"}
 	EndpointQuietEnded    = Event{408, log.InfoLevel, "endpoint accepts calls again after its quiet", "endpoint, incarnation", "nothing"}
 	EndpointNoticeIgnored = Event{409, log.WarnLevel, "notice of an endpoint's response ignored", "endpoint, source, reason", "correct the endpoint"}
+	DepartureNotRecorded  = Event{410, log.WarnLevel, "departure of an endpoint not recorded", "endpoint, incarnation, error", "nothing if the endpoint asks another VM; else check the group with group show"}
 	RequestRefused        = Event{501, log.DebugLevel, "request refused", "request_id, workspace, pipeline, kind, outcome", "see the remedy of the kind"}
 	AnswerDropped         = Event{502, log.WarnLevel, "stage answer dropped: its ids do not match the call", "request_id, stage, attempt, endpoint", "the endpoint mixes up answers: remove it and fix it"}
 	OutcomeUnknown        = Event{503, log.WarnLevel, "outcome of a non-idempotent call is unknown", "request_id, workspace, stage", "check the service's own records for whether it ran"}
@@ -56,7 +57,7 @@
 	Started, StopStarted, Stopped, Ready, Reloaded, ReloadRefused, StopStepFailed, LinesDropped, SettingClamped,
 	RoleChanged, GroupStarted, MembershipChanged, SnapshotTaken, SnapshotInstalled, TailTruncated, LeadershipTransferred,
 	VMAlive, VMLost, ConnectionReset,
-	EndpointAnnounced, EndpointDraining, EndpointLost, EndpointConflict, EndpointEjected, EndpointLeaves, EndpointQuiet, EndpointQuietEnded, EndpointNoticeIgnored,
+	EndpointAnnounced, EndpointDraining, EndpointLost, EndpointConflict, EndpointEjected, EndpointLeaves, EndpointQuiet, EndpointQuietEnded, EndpointNoticeIgnored, DepartureNotRecorded,
 	RequestRefused, AnswerDropped, OutcomeUnknown,
 	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, BatchFinished, StageFinished, ResultNotReleased, DispatcherFailed, RequestAccepted, RetryRefused, PromptQuarantined, RequestQuarantined,
 	DocumentActivated, DocumentRefused,
--- a/soak/standin_test.go
+++ b/soak/standin_test.go
@@ -75,6 +75,8 @@
 	rng      *rand.Rand
 	rates    faultRates
 	draining bool
+	// silent is true once the endpoint sends no more announcements.
+	silent bool
 	// leaving is true while the endpoint says in its responses, and only there, that it leaves.
 	leaving bool
 	notices notices
@@ -134,23 +136,10 @@
 	defer ticker.Stop()
 	for i := 0; ; i++ {
 		s.mu.Lock()
-		s.announcementSeq++
-		state := "ready"
-		if s.draining {
-			state = "draining"
-		}
-		body, _ := json.Marshal(map[string]any{
-			"Service": s.service, "Address": s.proxy.addr(), "Zone": s.zone, "Version": "v1", "Slots": 8, "State": state,
-			"Seq": s.announcementSeq, "born": s.startedMs + s.restarts,
-		})
+		silent := s.silent
 		s.mu.Unlock()
-		target := s.controls[i%len(s.controls)]
-		req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+target.addr(controlPort)+"/instances/"+s.id, bytes.NewReader(body))
-		if err == nil {
-			if resp, err := client.Do(req); err == nil {
-				s.recordAnnounceAck(state, resp.StatusCode)
-				_ = resp.Body.Close()
-			}
+		if !silent {
+			s.announceTo(ctx, client, s.controls[i%len(s.controls)])
 		}
 		select {
 		case <-ctx.Done():
@@ -160,6 +149,52 @@
 	}
 }
 
+// announceTo sends one announcement to a control VM and reports whether it was acknowledged.
+func (s *simulatedEndpoint) announceTo(ctx context.Context, client *http.Client, target *process) bool {
+	s.mu.Lock()
+	s.announcementSeq++
+	state := "ready"
+	if s.draining {
+		state = "draining"
+	}
+	body, _ := json.Marshal(map[string]any{
+		"Service": s.service, "Address": s.proxy.addr(), "Zone": s.zone, "Version": "v1", "Slots": 8, "State": state,
+		"Seq": s.announcementSeq, "born": s.startedMs + s.restarts,
+	})
+	s.mu.Unlock()
+	return s.callControl(ctx, client, http.MethodPut, target, state, body)
+}
+
+// callControl calls a control VM about this endpoint and reports whether the call was acknowledged.
+func (s *simulatedEndpoint) callControl(ctx context.Context, client *http.Client, method string, target *process, state string, body []byte) bool {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+target.addr(controlPort)+"/instances/"+s.id, bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	s.recordAnnounceAck(state, resp.StatusCode)
+	return resp.StatusCode == http.StatusOK
+}
+
+// depart ends the announcements and tells one control VM that the endpoint leaves, by a last announcement or by a DELETE. It
+// reports whether that was acknowledged. The endpoint serves on.
+func (s *simulatedEndpoint) depart(target *process, announce bool) bool {
+	s.mu.Lock()
+	s.silent, s.draining = true, announce
+	s.mu.Unlock()
+	// An announcement may be on its way.
+	time.Sleep(100 * time.Millisecond)
+	client := &http.Client{Timeout: time.Second}
+	if announce {
+		return s.announceTo(context.Background(), client, target)
+	}
+	return s.callControl(context.Background(), client, http.MethodDelete, target, "draining", nil)
+}
+
 func (s *simulatedEndpoint) recordAnnounceAck(state string, status int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/state/machine.go
+++ b/state/machine.go
@@ -1,5 +1,5 @@
-// Package state implements the replicated state machine: the operators' document and the ledger of non-idempotent
-// calls, which are called orders.
+// Package state implements the replicated state machine: the operators' document, the ledger of non-idempotent calls,
+// which are called orders, and the departures of endpoints.
 package state
 
 import (
@@ -18,6 +18,7 @@
 	results      map[string]*ChangeResult // by change id
 	resultsByAge []*ChangeResult          // oldest first
 	ledger       order.Ledger
+	departures   departures
 	time         int64 // highest TimeMs of all applied commands
 }
 
@@ -30,6 +31,8 @@
 		return &Result{Document: m.applyDocument(change.Document)}
 	case *Command_Order:
 		return &Result{Order: m.ledger.Apply(m.time, change.Order)}
+	case *Command_Departure:
+		m.departures.apply(m.time, change.Departure)
 	case *Command_Read:
 		return &Result{Current: m.document}
 	}
@@ -46,6 +49,17 @@
 	return m.ledger.Find(k)
 }
 
+// Departures returns the recorded departures of endpoints, oldest first. The caller must not modify them.
+func (m *Machine) Departures() []*Departure {
+	return m.departures.list()
+}
+
+// HasDeparted reports whether the departure of an endpoint's incarnation, or of a later one, is recorded.
+func (m *Machine) HasDeparted(endpointID string, incarnation uint64) bool {
+	d := m.departures.byEndpoint[endpointID]
+	return d != nil && d.Incarnation >= incarnation
+}
+
 // applyDocument accepts a document whose version is the current one plus 1. A resent change gets its first result; a
 // change id that is reused with another document is refused.
 func (m *Machine) applyDocument(d *DocumentChange) *DocumentResult {
@@ -99,7 +113,7 @@
 // Image returns the encoded state for a snapshot.
 func (m *Machine) Image() []byte {
 	data, err := proto.Marshal(&Image{
-		Document: m.document, Changes: m.resultsByAge, Orders: m.ledger.Records(), TimeMs: m.time,
+		Document: m.document, Changes: m.resultsByAge, Orders: m.ledger.Records(), TimeMs: m.time, Departures: m.departures.list(),
 	})
 	if err != nil {
 		panic("cannot encode the replicated state: " + err.Error())
@@ -118,6 +132,9 @@
 		m.storeResult(c)
 	}
 	m.ledger.Restore(image.Orders)
+	for _, d := range image.Departures {
+		m.departures.store(d)
+	}
 	return nil
 }
 
