endpoint: merge a departure whatever its sequence

A departure is final for its incarnation, so that its order does not matter.

TestDepartureCrossesAnnouncement failed before.

--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -92,6 +92,12 @@
 			return t.recordConflict(now, current, update.Address)
 		}
 		if isStale(current, &update) {
+			// A departure is final for its incarnation, so its order among the announcements does not matter.
+			if update.Leaving && update.Incarnation == current.Incarnation {
+				if _, changed := t.MarkLeaving(update.EndpointID); changed {
+					return Changed
+				}
+			}
 			return Stale
 		}
 		update.Leaving = update.Leaving || (update.Incarnation == current.Incarnation && current.Leaving)
--- a/endpoint/table_test.go
+++ b/endpoint/table_test.go
@@ -95,3 +95,28 @@
 	table.Expire(now.Add(2*time.Second), now.Add(2*time.Minute), time.Minute)
 	is.Equal(len(table.Entries()), 0)
 }
+
+// A departure that crossed a later announcement on its way was dropped, since its sequence was not newer.
+func TestDepartureCrossesAnnouncement(t *testing.T) {
+	for _, sequence := range []uint64{4, 5, 6} {
+		is := is.New(t)
+		now := time.Now()
+		table := &Table{}
+		e := Entry{
+			Announcement: godwitplank.Announcement{EndpointID: "e-1", Incarnation: 1, Sequence: 5, Address: "10.0.0.1:80", Pool: "s"},
+			Addr:         netip.MustParseAddrPort("10.0.0.1:80"), Source: Relayed, OfService: true,
+		}
+		is.Equal(table.Announce(now, e, time.Second), Changed)
+		before := table.Revision()
+		departed := e
+		departed.Sequence, departed.Leaving = sequence, true
+		is.Equal(table.Announce(now, departed, time.Second), Changed)
+		is.True(table.Find("e-1").Leaving)
+		is.True(table.Find("e-1").Sequence >= 5)
+		is.True(table.Revision() > before) // other VMs learn of it
+		is.Equal(table.Announce(now, departed, time.Second), Stale)
+		old := departed
+		old.Incarnation = 0
+		is.Equal(table.Announce(now, old, time.Second), Stale)
+	}
+}
