gateway: give no empty success to a caller that closed its sending side

Cause: finish wrote nothing once the request's context had ended, and net/http then writes an empty 200. The connection is now closed without a response. TestHalfClosedCallerGetsNoSuccess failed before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,7 +104,8 @@
 	return g.inFlight.Load()
 }
 
-// ServeHTTP serves one request. It panics with http.ErrAbortHandler if the request fails after the response started.
+// ServeHTTP serves one request. It panics with http.ErrAbortHandler if the request fails after the response started, or if
+// the caller has closed the connection.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
@@ -206,17 +207,14 @@
 	aborted := false
 	if err != nil {
 		e = g.callerFault(ctx, x, err)
-		switch {
-		case !x.firstByteAt.IsZero():
-			aborted = true
-		case ctx.Err() == nil:
+		if aborted = !x.firstByteAt.IsZero() || ctx.Err() != nil; !aborted {
 			x.status = e.Status()
 			g.Protocol.WriteError(x.w, x.ID, e)
 		}
 	}
 	g.report(x, e)
 	if aborted {
-		// Closes the connection without ending the body, so that the caller sees that the response is incomplete.
+		// Closes the connection without ending the response, so that a caller that still reads sees that it is incomplete.
 		panic(http.ErrAbortHandler)
 	}
 }
