pipeline, daemon: end requests of the own interface before a stopping VM exits

Its deadline and its calls are now bounded by the stop: 'stopping' with the outcome failed, not_run, or for orders unknown. The wait for background work (ledger commits of up to 10 s) ends with the stop too.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -155,7 +155,7 @@
 	d.runner = &pipeline.Runner{
 		VM: s.VM, Incarnation: incarnation, DataCentre: s.DataCentre,
 		Pools:  pipeline.PoolsFunc(func(name string) []route.Candidate { return d.control.View().Pools[name] }),
-		Policy: route.Policies[s.Policy](), Ledger: d.control, Client: stage.NewClient(),
+		Policy: route.Policies[s.Policy](), Ledger: d.control, Client: stage.NewClient(), Stop: &d.stop,
 		Clock: timer.System, Meter: meter, Log: d.log, OnSpend: tally.Add,
 	}
 	if s.RoutesAddr.IsValid() {
@@ -210,7 +210,11 @@
 	d.link.Stop()
 	_ = d.operators.Close()
 	d.wg.Wait()
-	d.log.Log(event.Stopped, "in_flight", d.entry.InFlight())
+	inFlight := d.entry.InFlight()
+	if d.routes != nil {
+		inFlight += d.routes.gateway.InFlight()
+	}
+	d.log.Log(event.Stopped, "in_flight", inFlight)
 	return nil
 }
 
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -78,13 +78,28 @@
 		})
 	}
 	wg.Wait()
-	d.runner.Wait()
+	d.waitForRunner(ctx)
 	if err := d.control.BeginStop(ctx); err != nil {
 		d.log.Log(event.StopStepFailed, "step", "transfer leadership", "error", err.Error())
 	}
 	_ = timer.Wait(ctx, finalExchangePeriod)
 }
 
+// waitForRunner waits until the runner's background work has ended, or ctx has.
+func (d *Daemon) waitForRunner(ctx context.Context) {
+	ended := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		d.runner.Wait()
+		close(ended)
+	})
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		d.log.Log(event.StopStepFailed, "step", "background work", "error", ctx.Err().Error())
+	}
+}
+
 // drainTimeout returns the longest time from the start of a stop to the end of the last request.
 func (d *Daemon) drainTimeout() time.Duration {
 	if d.Settings.StopGrace > 0 {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -6,7 +6,7 @@
 var (
 	Started               = Event{101, log.InfoLevel, "VM started", "callers_addr, operators_addr, link_addr, incarnation", "nothing"}
 	StopStarted           = Event{102, log.InfoLevel, "graceful stop started", "reason", "wait for event 103"}
-	Stopped               = Event{103, log.InfoLevel, "VM stopped", "in_flight", "if in_flight is not 0, requests outlived their deadlines: report it"}
+	Stopped               = Event{103, log.InfoLevel, "VM stopped", "in_flight", "if in_flight is not 0, responses that had begun were cut: raise stop_grace"}
 	Ready                 = Event{104, log.InfoLevel, "VM is ready", "document_version", "nothing"}
 	Reloaded              = Event{105, log.InfoLevel, "settings reloaded", "reason, changed", "nothing; changes of other settings need a restart"}
 	ReloadRefused         = Event{106, log.ErrorLevel, "settings could not be reloaded", "reason, error", "fix the settings; the previous ones stay active"}
--- a/pipeline/order.go
+++ b/pipeline/order.go
@@ -52,6 +52,8 @@
 	// The call continues if the caller disconnects, so that its result is recorded.
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), j.Deadline)
 	defer cancel()
+	ctx, bound := r.boundByStop(ctx)
+	defer bound.Release()
 	for {
 		record, err := c.acquire(ctx)
 		if err != nil {
@@ -142,7 +144,7 @@
 		}
 	}
 	if ctx.Err() != nil {
-		return nil, c.void(ctx, deadlineExceeded(c.stage.Name))
+		return nil, c.void(ctx, contextFault(ctx, c.stage))
 	}
 	return nil, c.void(ctx, noEndpoint(c.stage))
 }
--- a/pipeline/repeatable.go
+++ b/pipeline/repeatable.go
@@ -13,6 +13,7 @@
 	"godwitplank/fault"
 	"godwitplank/route"
 	"godwitplank/stage"
+	"godwitplank/stop"
 	"godwitplank/telemetry"
 )
 
@@ -150,8 +151,11 @@
 	return contextFault(ctx, a.stage)
 }
 
-// contextFault returns the fault for an ended ctx: the caller disconnected or the deadline expired.
+// contextFault returns the fault for an ended ctx: this VM stops, the caller disconnected or the deadline expired.
 func contextFault(ctx context.Context, s *document.Stage) *fault.Error {
+	if errors.Is(context.Cause(ctx), stop.ErrStopping) {
+		return fault.New(fault.Stopping, "this VM stops during stage %s; send the request to another VM", s.Name)
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return fault.New(fault.ClientDisconnected, "the caller disconnected during stage %s; send the request again", s.Name)
 	}
--- a/pipeline/runner.go
+++ b/pipeline/runner.go
@@ -15,6 +15,7 @@
 	"godwitplank/order"
 	"godwitplank/route"
 	"godwitplank/stage"
+	"godwitplank/stop"
 	"godwitplank/telemetry"
 	"godwitplank/timer"
 )
@@ -49,9 +50,11 @@
 	Policy      route.Policy
 	Ledger      Ledger
 	Client      *stage.Client
-	Clock       timer.Clock
-	Meter       *telemetry.Meter
-	Log         event.Logger
+	// Stop is the schedule of this VM's graceful stop; nil for a VM that never stops gracefully.
+	Stop  *stop.Schedule
+	Clock timer.Clock
+	Meter *telemetry.Meter
+	Log   event.Logger
 	// OnSpend, if set, is called with the time that each sent stage call occupied an endpoint.
 	OnSpend func(workspace, stage string, held time.Duration)
 
@@ -79,8 +82,11 @@
 
 // Run returns the output of the last stage, or a fault whose outcome says whether the request may have run.
 func (r *Runner) Run(ctx context.Context, j *Job) (json.RawMessage, *fault.Error) {
+	j.Deadline = r.Stop.Limit(j.Deadline)
 	ctx, cancel := context.WithDeadline(ctx, j.Deadline)
 	defer cancel()
+	ctx, bound := r.boundByStop(ctx)
+	defer bound.Release()
 	input := j.Input
 	for i := range j.Pipeline.Stages {
 		output, err := r.runStage(ctx, j, i, input)
@@ -92,6 +98,11 @@
 	return input, nil
 }
 
+// boundByStop returns a context that ends when the request needs its answer because this VM stops.
+func (r *Runner) boundByStop(ctx context.Context) (context.Context, *stop.Bound) {
+	return r.Stop.Bound(ctx, r.Clock, func(t stop.Times) time.Time { return t.AnswerBy })
+}
+
 func (r *Runner) runStage(ctx context.Context, j *Job, i int, input json.RawMessage) (json.RawMessage, *fault.Error) {
 	s := &j.Pipeline.Stages[i]
 	ctx, span := telemetry.StartSpan(ctx, "stage", "request_id", j.RequestID, "stage", s.Name, "pool", s.Pool)
