gateway: don't bound stages by a stop that the request cannot outlast

A request whose deadline is earlier than the end of its VM's stop was bounded in its stages by the expected run all the same, and so refused without need. TestStopTimes failed before in the three cases with an early deadline.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -15,11 +15,20 @@
 // runStagesBeforeStop runs the stages of the request. If this VM stops, they end with stop.ErrStopping once too little time
 // is left for the run at an endpoint.
 func (g *Gateway) runStagesBeforeStop(ctx context.Context, x *exchange) error {
-	ctx, bound := g.Stop.Bound(ctx, g.Clock, func(t stop.Times) time.Time { return t.AnswerBy.Add(-g.expectedRun(x)) })
+	ctx, bound := g.Stop.Bound(ctx, g.Clock, func(t stop.Times) time.Time { return g.latestSend(x, t) })
 	defer bound.Release()
 	return g.runStages(ctx, x)
 }
 
+// latestSend returns until when the request may be sent to an endpoint before a stop. One that cannot outlast the stop, since
+// its deadline is earlier, may be sent until then.
+func (g *Gateway) latestSend(x *exchange, t stop.Times) time.Time {
+	if !x.deadline.After(t.AnswerBy) {
+		return t.AnswerBy
+	}
+	return t.AnswerBy.Add(-g.expectedRun(x))
+}
+
 // endsAfterStop reports whether a new request, whose body may have come late, may outlast this VM's stop. While the load
 // balancer still sends requests, those that are expected to end in time are accepted; after that, only those whose deadline
 // ends in time.
