soak: kill a stopped process at the end of its grace, and find requests that planned changes cut

The platform kills a process that is still there at the end of its grace; restart let it exit as late as it liked, which hid that stops took too long. TestPlannedChanges now requires both stops to end by themselves, and no request that ran to lose its response.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -85,15 +85,21 @@
 	return items[rng.IntN(len(items))]
 }
 
-// restart resumes a paused VM, stops it with a signal and starts it again after downtime.
-func restart(t *testing.T, p *process, sig syscall.Signal, downtime time.Duration) {
+// restart resumes a paused VM, stops it with a signal and starts it again after downtime. It reports whether the VM exited by
+// itself.
+func restart(t *testing.T, p *process, sig syscall.Signal, downtime time.Duration) (exited bool) {
 	p.signal(syscall.SIGCONT)
-	p.signal(sig)
-	p.wait()
+	if sig == syscall.SIGTERM {
+		exited = p.stop()
+	} else {
+		p.signal(sig)
+		p.wait()
+	}
 	time.Sleep(downtime)
 	if err := p.start(); err != nil {
 		t.Error(err)
 	}
+	return exited
 }
 
 // impair delays, resets, stalls in one direction or refuses the connections through a proxy, and restores it after duration.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -52,7 +52,7 @@
 	subnet := fmt.Sprintf("127.%d.%d", 20+seed%200, os.Getpid()%250)
 	h := &harness{
 		checker:  &checker{runs: make(map[string]int), entries: make(map[string]*process)},
-		outcomes: &outcomes{statuses: make(map[string]int), served: make(map[string]int), failed: make(map[string]int)},
+		outcomes: &outcomes{statuses: make(map[string]int), cut: make(map[string]error), served: make(map[string]int), failed: make(map[string]int)},
 		rng:      rand.New(rand.NewPCG(seed, 7)), seed: seed,
 	}
 	h.cluster = newCluster(t, subnet, entries, controls)
@@ -136,11 +136,16 @@
 		time.Sleep(2 * time.Second)
 		h.cluster.entries[1].signal(syscall.SIGHUP)
 		time.Sleep(4 * time.Second)
-		restart(t, h.cluster.entries[1], syscall.SIGTERM, time.Second)
+		if !restart(t, h.cluster.entries[1], syscall.SIGTERM, time.Second) {
+			t.Errorf("%s was still running %v after SIGTERM", h.cluster.entries[1].name, stopGrace)
+		}
 		time.Sleep(6 * time.Second)
-		restart(t, h.cluster.controls[0], syscall.SIGTERM, time.Second)
+		if !restart(t, h.cluster.controls[0], syscall.SIGTERM, time.Second) {
+			t.Errorf("%s was still running %v after SIGTERM", h.cluster.controls[0].name, stopGrace)
+		}
 		time.Sleep(10 * time.Second)
 	})
+	h.outcomes.checkCuts(h.checker)
 	h.reportResults(t)
 	for kind, n := range h.outcomes.served {
 		// Callers cancel one request in twenty early, so some failures are expected.
--- a/soak/traffic_test.go
+++ b/soak/traffic_test.go
@@ -20,6 +20,8 @@
 	mu sync.Mutex
 	// statuses has the HTTP status by "KIND ID" of a request, 0 if there was no response.
 	statuses map[string]int
+	// cut has the error by ID of a request whose connection ended without a response before its caller gave up.
+	cut map[string]error
 	// served and failed count requests by kind.
 	served, failed map[string]int
 }
@@ -91,6 +93,9 @@
 	resp, err := c.client.Do(req)
 	if err != nil {
 		c.recordOutcome(id, kind, 0, false)
+		if ctx.Err() == nil {
+			c.outcomes.recordCut(id, err)
+		}
 		return
 	}
 	defer resp.Body.Close()
@@ -107,6 +112,24 @@
 	return kind
 }
 
+func (o *outcomes) recordCut(id string, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.cut[id] = err
+}
+
+// checkCuts records a violation for each request that ran and whose connection ended without a response, which planned
+// changes must not cause. Call it only after all traffic has ended.
+func (o *outcomes) checkCuts(ch *checker) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for id, err := range o.cut {
+		if ch.runCount(id) > 0 {
+			ch.violation("request %s ran and got no response: %v", id, err)
+		}
+	}
+}
+
 func (c *caller) recordOutcome(id, kind string, status int, served bool) {
 	c.outcomes.mu.Lock()
 	defer c.outcomes.mu.Unlock()
