--- a/soak/departure_test.go
+++ b/soak/departure_test.go
@@ -39,7 +39,7 @@
 			c.fault(h, acknowledging)
 			time.Sleep(4500 * time.Millisecond)
 			for i := range 60 {
-				r := slowRequest{kind: "once", id: fmt.Sprintf("once-%d", i)}
+				r := rawRequest{kind: "once", id: fmt.Sprintf("once-%d", i)}
 				status, err := r.send(h.cluster.entries[i%2].addr(routesPort))
 				check(t, err)
 				if status != http.StatusOK {
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -36,14 +36,15 @@
 	time.Sleep(2 * time.Second)
 }
 
-// slowRequest is a request whose body follows its header after bodyDelay. Its deadline is later than the end of a stop.
-type slowRequest struct {
+// rawRequest is a request on a connection of its own, whose body follows its header after bodyDelay. Its deadline is the
+// timeout of its route.
+type rawRequest struct {
 	kind, id  string
 	bodyDelay time.Duration
 }
 
 // send sends the request and returns the status of the complete response, or the error that ended the connection before.
-func (r *slowRequest) send(addr string) (int, error) {
+func (r *rawRequest) send(addr string) (int, error) {
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		return 0, err
@@ -99,7 +100,7 @@
 	for i, after := range s.sendAfter {
 		wg.Go(func() {
 			time.Sleep(lead + after)
-			r := slowRequest{kind: s.kind, id: fmt.Sprintf("%s-%d", s.kind, i), bodyDelay: s.bodyDelay}
+			r := rawRequest{kind: s.kind, id: fmt.Sprintf("%s-%d", s.kind, i), bodyDelay: s.bodyDelay}
 			status, err := r.send(p.addr(routesPort))
 			if err != nil {
 				t.Errorf("%s, sent %v after SIGTERM, got no complete response: %v", r.id, after, err)
