--- a/soak/departure_test.go
+++ b/soak/departure_test.go
@@ -10,21 +10,26 @@
 
 // A departure was lost if the one control VM that had acknowledged it was killed before it told others, even with its disk intact.
 func TestAcknowledgedDepartureSurvivesKill(t *testing.T) {
+	kill := func(t *testing.T, _ *harness, acknowledging *process) {
+		restart(t, acknowledging, syscall.SIGKILL, time.Second)
+	}
+	loseDisk := func(t *testing.T, h *harness, acknowledging *process) { check(t, h.cluster.wipe(acknowledging)) }
+	killAll := func(t *testing.T, h *harness, _ *process) {
+		for _, p := range h.cluster.controls {
+			p.signal(syscall.SIGKILL)
+		}
+		for _, p := range h.cluster.controls {
+			restart(t, p, syscall.SIGKILL, 0)
+		}
+	}
 	for name, c := range map[string]struct {
 		announce bool
-		fault    func(h *harness, acknowledging *process)
+		fault    func(t *testing.T, h *harness, acknowledging *process)
 	}{
-		"draining announcement": {true, func(_ *harness, p *process) { restart(t, p, syscall.SIGKILL, time.Second) }},
-		"delete":                {false, func(_ *harness, p *process) { restart(t, p, syscall.SIGKILL, time.Second) }},
-		"delete, disk lost":     {false, func(h *harness, p *process) { check(t, h.cluster.wipe(p)) }},
-		"delete, all control VMs killed": {false, func(h *harness, _ *process) {
-			for _, p := range h.cluster.controls {
-				p.signal(syscall.SIGKILL)
-			}
-			for _, p := range h.cluster.controls {
-				restart(t, p, syscall.SIGKILL, 0)
-			}
-		}},
+		"draining announcement":          {true, kill},
+		"delete":                         {false, kill},
+		"delete, disk lost":              {false, loseDisk},
+		"delete, all control VMs killed": {false, killAll},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, 1, 2, 3)
@@ -35,9 +40,9 @@
 				}
 				return nil
 			}))
-			time.Sleep(20 * time.Millisecond)
-			c.fault(h, acknowledging)
-			time.Sleep(4500 * time.Millisecond)
+			time.Sleep(20 * time.Millisecond) // shorter than the interval of the exchange between VMs
+			c.fault(t, h, acknowledging)
+			time.Sleep(4500 * time.Millisecond) // the VMs have recovered
 			for i := range 60 {
 				r := rawRequest{kind: "once", id: fmt.Sprintf("once-%d", i)}
 				status, err := r.send(h.cluster.entries[i%2].addr(routesPort))
