evacuation: replicated state, its distribution, View and readiness

Cause: nothing could stop new work to the endpoints of a whole data centre. View.Pools omits the endpoints of evacuated data centres; results that they hold are still freed. A VM whose deployment has a group is not ready, and routes nothing, until it has received the set from a replica that has caught up.

--- a/control/control.go
+++ b/control/control.go
@@ -51,6 +51,8 @@
 	LinkAddr      netip.AddrPort
 	OperatorsAddr netip.AddrPort
 	CallersAddr   netip.AddrPort
+	// DataCentres names the deployment's data centres, which may be evacuated; empty accepts any valid name.
+	DataCentres []string
 	// Join lists the link addresses of other VMs. This VM's own address is skipped.
 	Join []netip.AddrPort
 	// Discover also connects to VMs that are known only through other VMs.
@@ -114,6 +116,7 @@
 	spendCounters      spend.Counters
 	spendSavedRevision uint64
 	spendSavedAt       time.Time
+	evacuations        knownEvacuations
 	fatalErr           error
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -70,6 +70,7 @@
 		Paces: from.pacesSince(p.pacesSentAt),
 	}
 	request.Departures = from.departures()
+	request.EvacuationVersion = from.evacuations.set.Version
 	from.addCrashEvidence(from.Clock.Now(), p, request)
 	return request
 }
--- a/control/group.go
+++ b/control/group.go
@@ -44,7 +44,7 @@
 		}
 		m.Replicas = append(m.Replicas, &raft.Replica{Id: reply.Vm.ReplicaId, Vm: name})
 	}
-	if err := c.do(ctx, func() { m.InitialImage = state.InitialImage(c.storedDocument) }); err != nil {
+	if err := c.do(ctx, func() { m.InitialImage = state.InitialImage(c.storedDocument, c.evacuations.set) }); err != nil {
 		return nil, err
 	}
 	m.Group = groupID(m)
--- a/control/peer.go
+++ b/control/peer.go
@@ -241,6 +241,7 @@
 		request.Spend, sentRevision = c.localSpendSince(p.sentSpendRevision)
 		request.Paces = c.pacesSince(p.pacesSentAt)
 		request.Departures = c.departures()
+		request.EvacuationVersion = c.evacuations.set.Version
 		c.addCrashEvidence(c.Clock.Now(), p, request)
 	}) != nil {
 		return pause
@@ -300,6 +301,7 @@
 	c.markReportedAlive(now, p)
 	c.mergeRelayedEndpoints(sentAt, r.Endpoints)
 	c.updateKnownGroup(r.Group)
+	c.mergeEvacuations(r)
 	c.mergeSpend(r.Spend)
 	c.Crashes.Watch(now, r.SuspectParts)
 	c.Crashes.Adopt(now, decodeQuarantines(sentAt, r.Quarantines))
--- a/control/replica.go
+++ b/control/replica.go
@@ -125,6 +125,7 @@
 	if r.core.CaughtUp() {
 		c.applyDocument(r.machine.Document())
 	}
+	c.adoptOwnEvacuations()
 	c.compact()
 }
 
--- a/control/server.go
+++ b/control/server.go
@@ -50,6 +50,7 @@
 	reply.SuspectParts = c.Crashes.Suspects(now)
 	reply.Quarantines = encodeQuarantines(now, c.Crashes.Quarantines(now))
 	reply.Group = withoutPositions(c.currentGroup())
+	reply.EvacuationState = c.describeEvacuations(r.EvacuationVersion)
 	return reply
 }
 
--- a/control/view.go
+++ b/control/view.go
@@ -6,6 +6,7 @@
 
 	"godwitplank/document"
 	"godwitplank/endpoint"
+	"godwitplank/evacuation"
 	"godwitplank/link"
 	"godwitplank/raft"
 	"godwitplank/route"
@@ -23,18 +24,24 @@
 	Digest    string
 	// ActiveSince is when the document became active on this VM.
 	ActiveSince time.Time
-	// Pools holds the routable endpoints of each pool, sorted by id.
-	Pools     map[string][]route.Candidate
-	Endpoints []EndpointStatus
-	VMs       []vm.Entry
-	Group     *link.Group
-	Replica   *raft.Status
-	Stopping  bool
+	// Pools holds the routable endpoints of each pool, sorted by id. It is empty until the VM has received the evacuations
+	// after its start.
+	Pools map[string][]route.Candidate
+	// Evacuated holds the endpoints of each pool that would be routable if their data centres were not evacuated. They get
+	// no new work; results that they hold may still be freed.
+	Evacuated map[string][]route.Candidate
+	// Evacuations is the set of evacuations that this VM knows.
+	Evacuations evacuation.State
+	Endpoints   []EndpointStatus
+	VMs         []vm.Entry
+	Group       *link.Group
+	Replica     *raft.Status
+	Stopping    bool
 	// StopAt is when this VM must begin its planned stop; zero if none is planned.
 	StopAt time.Time
 	// Spend is the usage per workspace and stage, summed over all VMs.
 	Spend []spend.Total
-	// Ready is true while the VM has a document, is warmed up and is not stopping.
+	// Ready is true while the VM has a document and the evacuations, is warmed up and is not stopping.
 	Ready bool
 	// PublishedAt is when the view was published.
 	PublishedAt time.Time
@@ -52,13 +59,15 @@
 type EndpointStatus struct {
 	*endpoint.Entry
 	Admitted bool
+	// Evacuated is true if the endpoint's data centre is evacuated.
+	Evacuated bool
 	// InFlight is the number of this VM's calls in progress on the endpoint.
 	InFlight int64
 	// RoutableUntil is when this VM stops routing new work to the endpoint.
 	RoutableUntil time.Time
 }
 
-// State returns the endpoint's state at now: leaving, lost, not_admitted, planned_stop or working.
+// State returns the endpoint's state at now: leaving, lost, not_admitted, planned_stop, evacuated or working.
 func (e EndpointStatus) State(now time.Time) string {
 	switch {
 	case e.Leaving:
@@ -69,6 +78,8 @@
 		return "not_admitted"
 	case now.After(e.RoutableUntil):
 		return "planned_stop"
+	case e.Evacuated:
+		return "evacuated"
 	}
 	return "working"
 }
@@ -94,7 +105,7 @@
 	now := c.Clock.Now()
 	v := &View{
 		Document: c.document, Canonical: c.storedDocument.GetCanonical(), Digest: c.storedDocument.GetDigest(), ActiveSince: c.activeSince,
-		Pools: make(map[string][]route.Candidate), VMs: c.vms.Entries(), Group: c.currentGroup(),
+		Pools: make(map[string][]route.Candidate), Evacuated: make(map[string][]route.Candidate), Evacuations: c.evacuations.set, VMs: c.vms.Entries(), Group: c.currentGroup(),
 		Stopping: c.stopping, PublishedAt: now, SettleTime: c.distantInterval() + settleMargin, aliveVMs: 1 + c.vms.CountAlive(now),
 	}
 	c.entryVMs.update(c, now)
@@ -104,7 +115,7 @@
 		status := c.replica.core.Status()
 		v.Replica = &status
 	}
-	v.Ready = c.document != nil && !c.stopping && c.warmedUp(now)
+	v.Ready = c.document != nil && !c.stopping && c.warmedUp(now) && c.evacuationsKnown()
 	if begin, ok := c.plannedStopBegin("", c.Name); ok && c.Incarnation < uint64(begin.UnixNano()) {
 		v.StopAt = begin
 	}
@@ -120,7 +131,7 @@
 // publishEndpoint adds an endpoint's status to a view, and the endpoint to its pool if it is routable.
 func (c *Control) publishEndpoint(v *View, e *endpoint.Entry) {
 	stats := c.statsFor(e)
-	s := EndpointStatus{Entry: e, RoutableUntil: e.Expires, InFlight: stats.InFlight()}
+	s := EndpointStatus{Entry: e, RoutableUntil: e.Expires, InFlight: stats.InFlight(), Evacuated: c.evacuations.set.Active(e.DataCentre)}
 	if e.OfService {
 		s.RoutableUntil = e.Expires.Add(unconfirmedGracePeriod)
 	}
@@ -131,14 +142,18 @@
 		}
 	}
 	v.Endpoints = append(v.Endpoints, s)
-	if !s.Admitted || e.Leaving || !v.PublishedAt.Before(s.RoutableUntil) {
+	if !s.Admitted || e.Leaving || !v.PublishedAt.Before(s.RoutableUntil) || !c.evacuationsKnown() {
 		return
 	}
+	pools := v.Pools
+	if s.Evacuated {
+		pools = v.Evacuated
+	}
 	vms := v.aliveVMs
 	if e.OfService {
 		vms = len(v.EntryVMs)
 	}
-	v.Pools[e.Pool] = append(v.Pools[e.Pool], route.Candidate{
+	pools[e.Pool] = append(pools[e.Pool], route.Candidate{
 		ID: e.EndpointID, Addr: e.Addr, DataCentre: e.DataCentre, Models: e.Models, Slots: e.Slots, SendingVMs: vms,
 		ExpiresAt: s.RoutableUntil, Stats: stats, Incarnation: e.Incarnation, Confirmed: v.PublishedAt.Before(e.Expires),
 	})
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -16,6 +16,7 @@
 		{Name: "godwitplank_endpoints_quiet", Description: "Endpoints that asked this VM for no calls for a time that is not over.", Read: d.readQuiet},
 		{Name: "godwitplank_endpoints_leaving", Description: "Endpoints that told this VM in a response that they leave, and whose announcements do not say so.", Read: d.readLeaving},
 		{Name: "godwitplank_prompt_quarantines", Description: "Sets of prompt parts that are kept from endpoints.", Read: d.readQuarantines},
+		{Name: "godwitplank_evacuated_data_centres", Description: "Data centres that are evacuated as this VM knows.", Read: d.readEvacuated},
 		{Name: "godwitplank_vms_alive", Description: "VMs that are alive as this one knows, itself among them.", Read: d.readVMs},
 		{Name: "godwitplank_stage_queue_pieces", Description: "Pieces of a stage's service that wait here for an endpoint.", Read: d.readQueues},
 		{Name: "godwitplank_retry_budget_left", Description: "Calls of a service that this VM may still repeat now.", Read: d.readBudgets},
@@ -63,6 +64,10 @@
 	return out
 }
 
+func (d *Daemon) readEvacuated() []telemetry.Reading {
+	return singleReading(float64(len(d.control.View().Evacuations.DataCentres())))
+}
+
 func (d *Daemon) readVMs() []telemetry.Reading {
 	v := d.control.View()
 	alive := 0
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"godwitplank/connection"
@@ -52,6 +53,15 @@
 	return s.control.View().Pools[name]
 }
 
+// Holders includes the endpoints of evacuated data centres.
+func (s viewServices) Holders(name string) []route.Candidate {
+	v := s.control.View()
+	if len(v.Evacuated[name]) == 0 {
+		return v.Pools[name]
+	}
+	return slices.Concat(v.Pools[name], v.Evacuated[name])
+}
+
 func (s viewServices) Service(name string) *document.Service {
 	d := s.control.View().Document
 	if d == nil {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -2,7 +2,7 @@
 
 import "github.com/charmbracelet/log"
 
-// The events of the daemon. 1xx: process, 2xx: replication, 3xx: VMs, 4xx: endpoints, 5xx: requests, 6xx: document.
+// The events of the daemon. 1xx: process, 2xx: replication, 3xx: VMs, 4xx: endpoints, 5xx: requests, 6xx: document, 7xx: data centres.
 var (
 	Started               = Event{101, log.InfoLevel, "VM started", "callers_addr, operators_addr, link_addr, incarnation", "nothing"}
 	StopStarted           = Event{102, log.InfoLevel, "graceful stop started", "reason", "wait for event 103"}
@@ -50,6 +50,9 @@
 	RequestQuarantined    = Event{515, log.WarnLevel, "request not sent: its prompt is quarantined", "request_id, parts, left_ms, attempts", "see event 514 of these parts"}
 	DocumentActivated     = Event{601, log.InfoLevel, "document activated", "document_version, digest", "nothing"}
 	DocumentRefused       = Event{602, log.InfoLevel, "document refused", "document_version, kind, message", "fix the document and submit it again"}
+	EvacuationStarted     = Event{701, log.InfoLevel, "evacuation of a data centre in effect", "data_centre, version", "nothing; end the evacuation when the data centre may get work again"}
+	EvacuationEnded       = Event{702, log.InfoLevel, "evacuation of a data centre ended", "data_centre, version", "nothing"}
+	EvacuationRefused     = Event{703, log.WarnLevel, "evacuation command refused or not confirmed", "data_centre, active, error", "see the error; a command without a majority may still take effect: send it again"}
 )
 
 // Catalogue lists all events in ascending order of their numbers.
@@ -61,4 +64,5 @@
 	RequestRefused, AnswerDropped, OutcomeUnknown,
 	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, BatchFinished, StageFinished, ResultNotReleased, DispatcherFailed, RequestAccepted, RetryRefused, PromptQuarantined, RequestQuarantined,
 	DocumentActivated, DocumentRefused,
+	EvacuationStarted, EvacuationEnded, EvacuationRefused,
 }
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -42,6 +42,7 @@
 	AnswerLost         Kind = "answer_lost"
 	EndpointConflict   Kind = "endpoint_conflict"
 	EndpointUnknown    Kind = "endpoint_unknown"
+	UnknownDataCentre  Kind = "unknown_data_centre"
 	NotAdmitted        Kind = "not_admitted"
 	GroupExists        Kind = "group_exists"
 	GroupUnreachable   Kind = "group_unreachable"
@@ -78,6 +79,7 @@
 	AnswerLost:         http.StatusServiceUnavailable,
 	EndpointConflict:   http.StatusConflict,
 	EndpointUnknown:    http.StatusServiceUnavailable,
+	UnknownDataCentre:  http.StatusNotFound,
 	NotAdmitted:        http.StatusUnauthorized,
 	GroupExists:        http.StatusConflict,
 	GroupUnreachable:   http.StatusServiceUnavailable,
--- a/piece/dispatcher.go
+++ b/piece/dispatcher.go
@@ -53,6 +53,9 @@
 type Services interface {
 	// Endpoints returns the endpoints of a service that may receive calls.
 	Endpoints(service string) []route.Candidate
+	// Holders returns the endpoints of a service that may hold results: those that may receive calls, and those that only
+	// get no new work.
+	Holders(service string) []route.Candidate
 	// Service returns the configuration of a service, or nil if it does not exist.
 	Service(name string) *document.Service
 }
--- a/piece/dispatcher_test.go
+++ b/piece/dispatcher_test.go
@@ -115,6 +115,8 @@
 
 type services []*endpoint
 
+func (s services) Holders(name string) []route.Candidate { return s.Endpoints(name) }
+
 func (s services) Endpoints(string) []route.Candidate {
 	var out []route.Candidate
 	for _, e := range s {
--- a/piece/held.go
+++ b/piece/held.go
@@ -86,7 +86,7 @@
 	d.mu.Unlock()
 	for _, name := range services {
 		s := d.Services.Service(name)
-		for _, c := range d.Services.Endpoints(name) {
+		for _, c := range d.Services.Holders(name) {
 			if handles := frees[c.Addr]; handles != nil && s != nil && c.Stats.Accepts(d.Clock.Now(), 0) {
 				d.group.Go(func() { d.sendFrees(ctx, s, &c, handles) })
 			}
--- a/raft/core.go
+++ b/raft/core.go
@@ -312,3 +312,14 @@
 func (c *Core) CaughtUp() bool {
 	return c.commit >= c.leaderCommit
 }
+
+// Current reports whether this replica leads or follows a leader and has committed everything that was committed before
+// that leader's term began, and everything up to the highest commit index received. An entry of the current term is
+// required since a new leader does not know at first which entries of earlier terms are committed.
+func (c *Core) Current() bool {
+	if c.leader == "" || !c.CaughtUp() || (c.role != Leader && c.leaderCommit == 0) {
+		return false
+	}
+	term, ok := c.log.term(c.commit)
+	return ok && term == c.term
+}
--- a/state/machine.go
+++ b/state/machine.go
@@ -1,10 +1,11 @@
 // Package state implements the replicated state machine: the operators' document, the ledger of non-idempotent calls,
-// which are called orders, and the departures of endpoints.
+// which are called orders, the departures of endpoints and the evacuations of data centres.
 package state
 
 import (
 	"google.golang.org/protobuf/proto"
 
+	"godwitplank/evacuation"
 	"godwitplank/order"
 )
 
@@ -19,6 +20,7 @@
 	resultsByAge []*ChangeResult          // oldest first
 	ledger       order.Ledger
 	departures   departures
+	evacuations  evacuations
 	time         int64 // highest TimeMs of all applied commands
 }
 
@@ -33,6 +35,8 @@
 		return &Result{Order: m.ledger.Apply(m.time, change.Order)}
 	case *Command_Departure:
 		m.departures.apply(m.time, change.Departure)
+	case *Command_Evacuation:
+		return &Result{Evacuation: m.evacuations.apply(m.time, c.Id, change.Evacuation)}
 	case *Command_Read:
 		return &Result{Current: m.document}
 	}
@@ -54,6 +58,11 @@
 	return m.departures.list()
 }
 
+// Evacuations returns the set of evacuations.
+func (m *Machine) Evacuations() evacuation.State {
+	return m.evacuations.current
+}
+
 // HasDeparted reports whether the departure of an endpoint's incarnation, or of a later one, is recorded.
 func (m *Machine) HasDeparted(endpointID string, incarnation uint64) bool {
 	d := m.departures.byEndpoint[endpointID]
@@ -114,6 +123,7 @@
 func (m *Machine) Image() []byte {
 	data, err := proto.Marshal(&Image{
 		Document: m.document, Changes: m.resultsByAge, Orders: m.ledger.Records(), TimeMs: m.time, Departures: m.departures.list(),
+		Evacuations: EncodeEvacuations(m.evacuations.current), EvacuationIds: m.evacuations.ids,
 	})
 	if err != nil {
 		panic("cannot encode the replicated state: " + err.Error())
@@ -127,7 +137,10 @@
 	if err := proto.Unmarshal(data, image); err != nil {
 		return err
 	}
-	*m = Machine{document: image.Document, time: image.TimeMs}
+	*m = Machine{
+		document: image.Document, time: image.TimeMs,
+		evacuations: evacuations{current: DecodeEvacuations(image.Evacuations), ids: image.EvacuationIds},
+	}
 	for _, c := range image.Changes {
 		m.storeResult(c)
 	}
@@ -138,10 +151,11 @@
 	return nil
 }
 
-// InitialImage returns the encoded initial state of a new group: the document, if any, and an empty ledger.
-func InitialImage(d *DocumentChange) []byte {
-	if d == nil {
+// InitialImage returns the encoded initial state of a new group: the document, if any, the evacuations and an empty
+// ledger.
+func InitialImage(d *DocumentChange, e evacuation.State) []byte {
+	if d == nil && e.Version == 0 {
 		return nil
 	}
-	return (&Machine{document: d}).Image()
+	return (&Machine{document: d, evacuations: evacuations{current: e}}).Image()
 }
