--- a/setting/setting.go
+++ b/setting/setting.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -20,8 +21,10 @@
 
 // Settings are the validated settings of the daemon.
 type Settings struct {
-	VM            string
-	DataCentre    string
+	VM         string
+	DataCentre string
+	// DataCentres names the data centres of the deployment; empty if they are not known.
+	DataCentres   []string
 	CallersAddr   netip.AddrPort
 	OperatorsAddr netip.AddrPort
 	LinkAddr      netip.AddrPort
@@ -83,6 +86,7 @@
 var flags = []flag{
 	{"vm", "", "name of this VM, unique among all VMs", func(s *Settings, v string) error { return setName(&s.VM, v) }},
 	{"data_centre", "", "name of this VM's data centre", func(s *Settings, v string) error { return setName(&s.DataCentre, v) }},
+	{"data_centres", "", "names of the deployment's data centres, separated by commas; only these may be evacuated; empty to accept any", setDataCentres},
 	{"callers_addr", "127.0.0.1:0", "ip:port for callers and endpoints; empty to serve none", func(s *Settings, v string) error { return setOptionalAddr(&s.CallersAddr, v) }},
 	{"operators_addr", "127.0.0.1:0", "ip:port for operators", func(s *Settings, v string) error { return setAddr(&s.OperatorsAddr, v) }},
 	{"routes_addr", "", "ip:port for the requests of routes; empty to serve none", func(s *Settings, v string) error { return setOptionalAddr(&s.RoutesAddr, v) }},
@@ -205,6 +209,25 @@
 	return nil
 }
 
+// setDataCentres skips invalid names with a warning: the platform gives the value, and a VM that does not start serves
+// nothing.
+func setDataCentres(s *Settings, value string) error {
+	for text := range strings.SplitSeq(value, ",") {
+		var name string
+		if text = strings.TrimSpace(text); text == "" {
+			continue
+		}
+		if err := setName(&name, text); err != nil {
+			s.Warnings = append(s.Warnings, fmt.Sprintf("--data_centres: %v; it is skipped", err))
+			continue
+		}
+		s.DataCentres = append(s.DataCentres, name)
+	}
+	slices.Sort(s.DataCentres)
+	s.DataCentres = slices.Compact(s.DataCentres)
+	return nil
+}
+
 func setAddr(field *netip.AddrPort, value string) error {
 	a, err := netip.ParseAddrPort(value)
 	if err != nil {
