evacuation: operators' API, console form and command line

Cause: operators outside the platform had no way to evacuate a data centre. Change: PUT and DELETE /v1/evacuations/{data_centre}, GET /v1/evacuations, a form on the state page and the commands evacuation start, end and show. The test of the killed leader checks that it really was stopped.

--- a/cli/command.go
+++ b/cli/command.go
@@ -56,7 +56,7 @@
 	flags.StringVar(&t.tokenFile, "operator_token_file", os.Getenv("GODWITPLANK_OPERATOR_TOKEN_FILE"), "file that holds the operator token [GODWITPLANK_OPERATOR_TOKEN_FILE]")
 	flags.StringVar(&t.output, "output", "text", "output format, text or json")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError("%v", err) })
-	root.AddCommand(t.groupCommand(), t.documentCommand(), t.requestCommand(), t.endpointsCommand(), t.spendCommand(), t.loadCommand(), t.explainCommand(), versionCommand())
+	root.AddCommand(t.groupCommand(), t.documentCommand(), t.evacuationCommand(), t.requestCommand(), t.endpointsCommand(), t.spendCommand(), t.loadCommand(), t.explainCommand(), versionCommand())
 	return root
 }
 
--- a/cli/command_test.go
+++ b/cli/command_test.go
@@ -28,6 +28,8 @@
 		{"group show --server nowhere", 2, "give ip:port"},
 		{"group show --server 127.0.0.1:1", 2, "--operator_token_file is missing"},
 		{"group show --server 127.0.0.1:1 --operator_token_file command.go", 1, "no response"},
+		{"evacuation start", 2, "see godwitplank evacuation start --help"},
+		{"evacuation show", 2, "--server is missing"},
 		{"version --output yaml", 2, "give text or json"},
 		{"request p --input nothing", 2, "give JSON"},
 		{"explain r-1 ../explain/testdata/vm-a.log ../explain/testdata/bench.log", 0, "cause: endpoint e-2 failed"},
--- a/console/console.go
+++ b/console/console.go
@@ -35,6 +35,10 @@
 	// Group asks the Raft leader for the group's state. Without an answer from a leader it may return the last known
 	// state; it returns nil if no group is known.
 	Group(ctx context.Context) *link.Group
+	// Evacuate starts the evacuation of a data centre, whose endpoints get no new work; EndEvacuation withdraws it. After an
+	// error of kind NoQuorum the outcome is unknown. Both may be repeated.
+	Evacuate(ctx context.Context, dataCentre string) error
+	EndEvacuation(ctx context.Context, dataCentre string) error
 }
 
 // Console serves the operators' API and web pages. Set the exported fields before calling Handler.
@@ -64,6 +68,9 @@
 	r.HandleFunc("/v1/status", c.requireToken(c.getStatus)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/spend", c.requireToken(c.getSpend)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/group", c.requireToken(c.putGroup)).Methods(http.MethodPut)
+	r.HandleFunc("/v1/evacuations", c.requireToken(c.getEvacuations)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/evacuations/{data_centre}", c.requireToken(c.putEvacuation)).Methods(http.MethodPut)
+	r.HandleFunc("/v1/evacuations/{data_centre}", c.requireToken(c.deleteEvacuation)).Methods(http.MethodDelete)
 	c.addPages(r)
 	r.NotFoundHandler = http.HandlerFunc(serveNotFound)
 	r.MethodNotAllowedHandler = r.NotFoundHandler
--- a/console/pages.go
+++ b/console/pages.go
@@ -34,10 +34,12 @@
 	Messages []string
 	Status   *Status
 	Spend    []spend.Total
-	Form     *form
-	Version  uint64
-	Document string
-	ChangeID string
+	// Evacuations are shown on the state page.
+	Evacuations []EvacuationStatus
+	Form        *form
+	Version     uint64
+	Document    string
+	ChangeID    string
 	// Resend shows a button that submits Document again with the same ChangeID, for an unknown outcome.
 	Resend bool
 }
@@ -48,6 +50,7 @@
 	r.HandleFunc("/edit", c.requireSession(c.showEdit)).Methods(http.MethodGet)
 	r.HandleFunc("/preview", c.requireSession(c.preview)).Methods(http.MethodPost)
 	r.HandleFunc("/submit", c.requireSession(c.submitForm)).Methods(http.MethodPost)
+	r.HandleFunc("/evacuation", c.requireSession(c.evacuateForm)).Methods(http.MethodPost)
 	r.HandleFunc("/login", c.login).Methods(http.MethodPost)
 }
 
@@ -95,7 +98,8 @@
 
 func (c *Console) showState(w http.ResponseWriter, r *http.Request) {
 	s := c.status(r.Context())
-	c.render(w, "state", http.StatusOK, &page{Status: &s, Spend: c.Views.View().Spend})
+	v := c.Views.View()
+	c.render(w, "state", http.StatusOK, &page{Status: &s, Spend: v.Spend, Evacuations: evacuationList(v.Evacuations).Evacuations})
 }
 
 // currentDocument returns this VM's active document, an empty one if it has none.
--- a/console/pages_test.go
+++ b/console/pages_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"testing"
 
+	"github.com/google/uuid"
 	"github.com/matryer/is"
 
 	"godwitplank/control"
@@ -35,7 +36,7 @@
 }
 
 func (f *fakeSystem) View() *control.View {
-	v := &control.View{}
+	v := &control.View{Evacuations: f.machine.Evacuations()}
 	if d := f.machine.Document(); d != nil {
 		v.Document, _ = document.ParseCanonical(d.Canonical)
 		v.Canonical = d.Canonical
@@ -57,6 +58,22 @@
 	return nil, nil
 }
 
+func (f *fakeSystem) Evacuate(_ context.Context, dataCentre string) error {
+	return f.change(dataCentre, true)
+}
+
+func (f *fakeSystem) EndEvacuation(_ context.Context, dataCentre string) error {
+	return f.change(dataCentre, false)
+}
+
+func (f *fakeSystem) change(dataCentre string, active bool) error {
+	if dataCentre != "dc-a" {
+		return fault.New(fault.UnknownDataCentre, "the deployment has no data centre %q; name one of dc-a", dataCentre)
+	}
+	f.machine.Apply(&state.Command{Id: uuid.NewString(), Change: &state.Command_Evacuation{Evacuation: &state.Evacuation{DataCentre: dataCentre, Active: active}}})
+	return nil
+}
+
 func (f *fakeSystem) Group(context.Context) *link.Group { return nil }
 
 // browser is an HTTP client that keeps cookies and submits forms.
@@ -197,6 +214,47 @@
 	b.is.Equal(len(f.changes), 0)
 }
 
+// Guards against a change of evacuations without the operator token or a session, and against a page that hides a refusal.
+func TestEvacuations(t *testing.T) {
+	f := &fakeSystem{}
+	b := newBrowser(t, f)
+	call := func(method, path, bearer string) (int, string) {
+		r, err := http.NewRequest(method, b.url+path, nil)
+		b.is.NoErr(err)
+		r.Header.Set("Authorization", "Bearer "+bearer)
+		response, err := b.client.Do(r)
+		b.is.NoErr(err)
+		defer response.Body.Close()
+		text, err := io.ReadAll(response.Body)
+		b.is.NoErr(err)
+		return response.StatusCode, string(text)
+	}
+	status, _ := call(http.MethodPut, "/v1/evacuations/dc-a", "wrong")
+	b.is.Equal(status, http.StatusUnauthorized)
+	status, _ = b.post("/evacuation", url.Values{"data_centre": {"dc-a"}, "action": {"start"}})
+	b.is.Equal(status, http.StatusUnauthorized)
+	b.is.Equal(len(f.machine.Evacuations().DataCentres()), 0)
+
+	status, _ = call(http.MethodPut, "/v1/evacuations/dc-a", token)
+	b.is.Equal(status, http.StatusOK)
+	_, text := call(http.MethodGet, "/v1/evacuations", token)
+	b.is.True(strings.Contains(text, `"data_centre":"dc-a"`))
+	status, _ = call(http.MethodDelete, "/v1/evacuations/dc-z", token)
+	b.is.Equal(status, http.StatusNotFound)
+
+	b.login()
+	_, text = b.send(http.MethodGet, "/", "", nil)
+	b.is.True(strings.Contains(text, "end the evacuation"))
+	status, _ = b.post("/evacuation", url.Values{"data_centre": {"dc-a"}, "action": {"end"}})
+	b.is.Equal(status, http.StatusOK)
+	b.is.Equal(len(f.machine.Evacuations().DataCentres()), 0)
+	status, text = b.post("/evacuation", url.Values{"data_centre": {"dc-z"}, "action": {"start"}})
+	b.is.Equal(status, http.StatusNotFound)
+	b.is.True(strings.Contains(text, "name one of dc-a"))
+	status, _ = b.post("/evacuation", url.Values{"data_centre": {"dc-a"}})
+	b.is.Equal(status, http.StatusBadRequest)
+}
+
 func golden(t *testing.T, b *browser, path, got string) {
 	t.Helper()
 	if *update {
--- a/console/status.go
+++ b/console/status.go
@@ -57,8 +57,9 @@
 	CallersAddr     string `json:"callers_addr"`
 }
 
-// EndpointStatus describes one endpoint. State is working, leaving (the endpoint is draining), lost, not_admitted or
-// planned_stop (no new work, because its planned stop is near or past). InFlight counts the answering VM's own calls to
+// EndpointStatus describes one endpoint. State is working, leaving (the endpoint is draining), lost, not_admitted,
+// planned_stop (no new work, because its planned stop is near or past) or evacuated (no new work, because its data centre
+// is evacuated). InFlight counts the answering VM's own calls to
 // the endpoint.
 type EndpointStatus struct {
 	EndpointID string `json:"endpoint_id"`
--- a/control/evacuation_test.go
+++ b/control/evacuation_test.go
@@ -35,7 +35,7 @@
 	cancel context.CancelFunc
 	group  sync.WaitGroup
 	// dies makes the VM stop after it has committed the next proposal and before it replies.
-	dies atomic.Bool
+	dies, died atomic.Bool
 }
 
 // startVoters starts a group of three VMs on loopback addresses.
@@ -92,6 +92,7 @@
 func (v *voter) intercept(ctx context.Context, request any, _ *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
 	reply, err := handler(ctx, request)
 	if p, ok := reply.(*link.ProposeReply); ok && p.Taken && v.dies.Load() {
+		v.died.Store(true)
 		v.cancel()
 		return nil, status.Error(codes.Unavailable, "killed")
 	}
@@ -144,7 +145,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	is.NoErr(others[0].Evacuate(ctx, "dc-b"))
-	is.True(leader.dies.Load())
+	is.True(leader.died.Load())
 	is.NoErr(others[1].EndEvacuation(ctx, "dc-b"))
 	is.NoErr(others[0].EndEvacuation(ctx, "dc-b")) // a retried command
 	is.NoErr(others[0].Evacuate(ctx, "dc-c"))
