--- a/soak/standin_test.go
+++ b/soak/standin_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -70,6 +71,7 @@
 	startedMs         int64 // Unix milliseconds
 	cancel            context.CancelFunc
 	wg                sync.WaitGroup
+	lastCallMs        atomic.Int64 // time of the last call other than the release of results, in Unix milliseconds
 
 	mu       sync.Mutex
 	rng      *rand.Rand
@@ -107,7 +109,12 @@
 	mux.HandleFunc("POST /stage-run", s.serveStage)
 	mux.HandleFunc("POST /stage-free", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/", s.serve)
-	s.server = &http.Server{Handler: mux}
+	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/stage-free" {
+			s.lastCallMs.Store(time.Now().UnixMilli())
+		}
+		mux.ServeHTTP(w, r)
+	})}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.wg.Go(func() { _ = s.server.Serve(listener) })
