control: an evacuation waits at most 250 ms for a leader that does not reply

Cause: with a paused leader the command was acknowledged after 1.04 s in each of 3 runs of TestEvacuationWithLeaderPaused, when the one attempt had timed out, although the other voters had a new leader earlier. Change: an attempt of an evacuation ends after 250 ms. Sending the command twice is harmless, since its id is recorded. Also a test of the setting data_centres.

--- a/control/evacuation_test.go
+++ b/control/evacuation_test.go
@@ -22,6 +22,7 @@
 	"godwitplank/fault"
 	"godwitplank/link"
 	"godwitplank/raft"
+	"godwitplank/state"
 	"godwitplank/timer"
 )
 
@@ -279,3 +280,27 @@
 	is.True(vm.View().Ready)
 	is.Equal(len(vm.View().Pools["s"]), 1)
 }
+
+// An evacuation that is given while the leader is paused is acknowledged within the 5 s that an operator tries. An attempt at
+// the paused leader ends before the second after which the operator asks another VM: it once took that whole second, also if
+// the others had a new leader by then.
+func TestEvacuationWithLeaderPaused(t *testing.T) {
+	is := is.New(t)
+	voters := startVoters(t)
+	leader, others := waitForLeader(t, voters)
+	for _, v := range voters {
+		waitUntil(t, "the leader is known", func() bool { return v.View().Group.GetLeaderVm() == leader.Name })
+	}
+	resume := make(chan struct{})
+	leader.calls <- func() { <-resume }
+	defer close(resume)
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	command := &state.Command{Id: "c-1", Change: &state.Command_Evacuation{Evacuation: &state.Evacuation{DataCentre: "dc-a", Active: true}}}
+	result, _ := others[0].proposeOnce(ctx, command, leader.Name)
+	is.Equal(result, nil)
+	is.True(time.Since(started) < time.Second)
+	is.NoErr(others[0].Evacuate(ctx, "dc-a"))
+	t.Logf("acknowledged after %v", time.Since(started).Round(time.Millisecond))
+}
--- a/control/propose.go
+++ b/control/propose.go
@@ -16,8 +16,12 @@
 )
 
 const (
-	proposeTimeout       = 1 * time.Second
-	proposeRetryInterval = 30 * time.Millisecond
+	proposeTimeout = 1 * time.Second
+	// evacuationProposeTimeout is shorter, since each second of an evacuation that is not acknowledged is costly: a leader that
+	// is paused or unreachable must not delay the command longer than the election of another one. A command that is still
+	// sent twice has an effect only once.
+	evacuationProposeTimeout = 250 * time.Millisecond
+	proposeRetryInterval     = 30 * time.Millisecond
 )
 
 // propose commits a command through the leader. It retries until ctx ends, which is safe since every command is
@@ -41,7 +45,11 @@
 
 // proposeOnce sends a command to the likely leader. If that VM does not lead, it returns the leader hint of its reply.
 func (c *Control) proposeOnce(ctx context.Context, command *state.Command, hint string) (*state.Result, string) {
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	timeout := proposeTimeout
+	if command.GetEvacuation() != nil {
+		timeout = evacuationProposeTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var target string
 	var p *peer
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -132,3 +132,15 @@
 	is.Equal(s.Retry.Ratio, 1.0)
 	is.Equal(s.Warnings, []string{"--retry_ratio: 2 is more than 1; 1 is used"})
 }
+
+// The platform gives the list of data centres. A name that cannot be used must not keep a VM from starting.
+func TestDataCentres(t *testing.T) {
+	is := is.New(t)
+	s, err := read(t, "--vm", "a", "--data_centre", "d")
+	is.NoErr(err)
+	is.Equal(len(s.DataCentres), 0)
+	s, err = read(t, "--vm", "a", "--data_centre", "d", "--data_centres", "dc-b, dc-a,,dc-a,a/b,")
+	is.NoErr(err)
+	is.Equal(s.DataCentres, []string{"dc-a", "dc-b"})
+	is.Equal(len(s.Warnings), 1)
+}
