setting: take data_centres from a mapping

The template form with a section is not understood by review/standin, whose files stay as they are; the platform renders a table as JSON, which is a YAML mapping. TestDataCentresOfMapping.

--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -157,9 +157,6 @@
 	}
 }
 
-// zoneList is the template form of the list of zones.
-const zoneList = "{{#Zones}}{{@}}{{,}}{{/Zones}}"
-
 var placeholder = regexp.MustCompile(`\{\{[A-Za-z0-9.]+\}\}`)
 
 // startMachine fills in the template of the machine's settings and starts its process with the command of the deploy file.
@@ -169,7 +166,6 @@
 		return err
 	}
 	m.settings["Bootstrap"] = fmt.Sprint(m.bootstrap)
-	text = bytes.ReplaceAll(text, []byte(zoneList), []byte("zone-0,zone-1,zone-2"))
 	filled := placeholder.ReplaceAllFunc(text, func(p []byte) []byte { return []byte(m.settings[string(bytes.Trim(p, "{}"))]) })
 	path := filepath.Join(d.dir, m.name+".yaml")
 	if err := os.WriteFile(path, filled, 0o600); err != nil {
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"slices"
@@ -86,7 +87,7 @@
 var flags = []flag{
 	{"vm", "", "name of this VM, unique among all VMs", func(s *Settings, v string) error { return setName(&s.VM, v) }},
 	{"data_centre", "", "name of this VM's data centre", func(s *Settings, v string) error { return setName(&s.DataCentre, v) }},
-	{"data_centres", "", "names of the deployment's data centres, separated by commas; only these may be evacuated; empty to accept any", setDataCentres},
+	{"data_centres", "", "names of the deployment's data centres, separated by commas, or a mapping with these keys in the settings file; only these may be evacuated; empty to accept any", setDataCentres},
 	{"callers_addr", "127.0.0.1:0", "ip:port for callers and endpoints; empty to serve none", func(s *Settings, v string) error { return setOptionalAddr(&s.CallersAddr, v) }},
 	{"operators_addr", "127.0.0.1:0", "ip:port for operators", func(s *Settings, v string) error { return setAddr(&s.OperatorsAddr, v) }},
 	{"routes_addr", "", "ip:port for the requests of routes; empty to serve none", func(s *Settings, v string) error { return setOptionalAddr(&s.RoutesAddr, v) }},
@@ -187,11 +188,20 @@
 		if value == nil {
 			value = ""
 		}
-		values[name] = fmt.Sprint(value)
+		values[name] = settingText(value)
 	}
 	return values, nil
 }
 
+// settingText returns a value of the settings file as the text of a flag. A mapping stands for the list of its keys.
+func settingText(value any) string {
+	mapping, ok := value.(map[string]any)
+	if !ok {
+		return fmt.Sprint(value)
+	}
+	return strings.Join(slices.Sorted(maps.Keys(mapping)), ",")
+}
+
 func isSetting(name string) bool {
 	for _, f := range flags {
 		if f.name == name {
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -144,3 +144,18 @@
 	is.Equal(s.DataCentres, []string{"dc-a", "dc-b"})
 	is.Equal(len(s.Warnings), 1)
 }
+
+// The platform gives the data centres as a mapping to their regions, or nothing; a VM must start with either.
+func TestDataCentresOfMapping(t *testing.T) {
+	is := is.New(t)
+	for text, want := range map[string][]string{
+		`data_centres: {"dc-b":"r","dc-a":"r"}`: {"dc-a", "dc-b"},
+		`data_centres: `:                        nil,
+	} {
+		file := filepath.Join(t.TempDir(), "settings.yaml")
+		is.NoErr(os.WriteFile(file, []byte("vm: a\ndata_centre: d\n"+text+"\n"), 0o600))
+		s, err := read(t, "--settings_file", file)
+		is.NoErr(err)
+		is.Equal(s.DataCentres, want)
+	}
+}
