placement: select the engines of a service at one VM for all

Change: the owner of a service, selected like a dispatcher, knows the prompts of all VMs at each engine, its recent speed and its cached parts.

--- a/control/control.go
+++ b/control/control.go
@@ -81,6 +81,8 @@
 	Crashes *crash.Tracker
 	// Pieces dispatches pieces for other VMs; nil on a VM that accepts no callers' requests.
 	Pieces PieceServer
+	// Placements places prompts for other VMs; nil on a VM that accepts no callers' requests.
+	Placements PlacementServer
 	Log    event.Logger
 
 	calls  chan func()
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -36,8 +36,8 @@
 	RequestRefused        = Event{501, log.DebugLevel, "request refused", "request_id, workspace, pipeline, kind, outcome", "see the remedy of the kind"}
 	AnswerDropped         = Event{502, log.WarnLevel, "stage answer dropped: its ids do not match the call", "request_id, stage, attempt, endpoint", "the endpoint mixes up answers: remove it and fix it"}
 	OutcomeUnknown        = Event{503, log.WarnLevel, "outcome of a non-idempotent call is unknown", "request_id, workspace, stage", "check the service's own records for whether it ran"}
-	RequestSent           = Event{504, log.InfoLevel, "request sent to an endpoint", "request_id, endpoint, addr, attempt, cause, candidates, in_flight, cached_tokens, uncached_tokens, confirmed, left_ms, budget_left", "nothing"}
-	RequestAnswered       = Event{505, log.InfoLevel, "request answered", "request_id, route, workspace, document_version, status, kind, message, stages_ms, first_ms, took_ms, left_ms, attempts, retry_after_ms", "if kind is not empty, check the other log lines of the request"}
+	RequestSent           = Event{504, log.InfoLevel, "request sent to an endpoint", "request_id, endpoint, addr, attempt, cause, candidates, in_flight, cached_tokens, uncached_tokens, wait_ms, confirmed, left_ms, budget_left", "nothing"}
+	RequestAnswered       = Event{505, log.InfoLevel, "request answered", "request_id, route, workspace, document_version, status, kind, message, stages_ms, first_ms, pause_ms, took_ms, left_ms, attempts, retry_after_ms", "if kind is not empty, check the other log lines of the request"}
 	AttemptFailed         = Event{506, log.WarnLevel, "attempt failed", "request_id, endpoint, error, sent, not_run, closed_by_endpoint, parts, took_ms, shed_ms", "if it repeats, check the endpoint"}
 	StreamResumed         = Event{507, log.InfoLevel, "stream resumed at another endpoint", "request_id, endpoint, last_event, passed_ms", "nothing"}
 	BatchFinished         = Event{508, log.InfoLevel, "batch of stage pieces finished", "service, endpoint, pieces, requests, waited_ms, took_ms, predicted_ms, without_room, result", "if took_ms is far above predicted_ms, the endpoint is slow"}
@@ -48,6 +48,7 @@
 	RetryRefused          = Event{513, log.WarnLevel, "request not sent again: the retry budget is spent", "request_id, service, attempts, budget_left, vms", "check event 506 for why the service's endpoints fail"}
 	PromptQuarantined     = Event{514, log.WarnLevel, "prompts quarantined: endpoints crashed while they ran", "parts, crashes, repeats, left_ms, decided_here", "find out why endpoints crash under these prompt parts (event 506 has the runs); callers get 503 until the quarantine ends"}
 	RequestQuarantined    = Event{515, log.WarnLevel, "request not sent: its prompt is quarantined", "request_id, parts, left_ms, attempts", "see event 514 of these parts"}
+	PlacementFailed       = Event{516, log.WarnLevel, "placement of a prompt by another VM failed", "request_id, service, peer, error", "nothing: this VM selected the endpoint; if it repeats, check whether the VM or the link to it failed"}
 	DocumentActivated     = Event{601, log.InfoLevel, "document activated", "document_version, digest", "nothing"}
 	DocumentRefused       = Event{602, log.InfoLevel, "document refused", "document_version, kind, message", "fix the document and submit it again"}
 )
@@ -59,6 +60,6 @@
 	VMAlive, VMLost, ConnectionReset,
 	EndpointAnnounced, EndpointDraining, EndpointLost, EndpointConflict, EndpointEjected, EndpointLeaves, EndpointQuiet, EndpointQuietEnded, EndpointNoticeIgnored, DepartureNotRecorded,
 	RequestRefused, AnswerDropped, OutcomeUnknown,
-	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, BatchFinished, StageFinished, ResultNotReleased, DispatcherFailed, RequestAccepted, RetryRefused, PromptQuarantined, RequestQuarantined,
+	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, BatchFinished, StageFinished, ResultNotReleased, DispatcherFailed, RequestAccepted, RetryRefused, PromptQuarantined, RequestQuarantined, PlacementFailed,
 	DocumentActivated, DocumentRefused,
 }
--- a/route/policy.go
+++ b/route/policy.go
@@ -19,6 +19,9 @@
 	InputBytes map[string]int64
 	// Reach reports unreachable data centres; nil means that all are reachable.
 	Reach *Reachability
+	// Load returns the cost of the load of an endpoint for a prompt with a number of tokens to prefill, in such tokens, as a VM
+	// knows it that selects for all VMs. If it is nil, both are estimated from this VM's calls in flight.
+	Load func(c *Candidate, uncached int) float64
 }
 
 // Policy selects the endpoint of a call. Choose returns the index of a candidate, or -1 if none is usable.
@@ -183,3 +186,19 @@
 	}
 	return best
 }
+
+// FindUsable returns the index of the endpoint with an id and incarnation, or -1 if it is not among the candidates, not usable,
+// ejected or in an unreachable data centre.
+func FindUsable(q Query, candidates []Candidate, id string, incarnation uint64) int {
+	for i := range candidates {
+		c := &candidates[i]
+		if c.ID != id || c.Incarnation != incarnation {
+			continue
+		}
+		if !usable(&q, c) || c.Stats.ejected(q.Now.UnixNano()) || q.Reach.Unreachable(q.Now, c.DataCentre) {
+			return -1
+		}
+		return i
+	}
+	return -1
+}
--- a/route/prefix.go
+++ b/route/prefix.go
@@ -90,11 +90,15 @@
 			continue
 		}
 		cached := p.cachedTokens(q.Now, c.Stats, parts, hashes)
-		if c.ID == home {
+		if c.ID == home && q.Load == nil {
 			cached = max(cached, int(homeCachedShare*float64(total-lastTokens(parts))))
 		}
-		cost := float64(total-cached) + inFlightTokens*float64(c.Stats.InFlight()*int64(max(c.SendingVMs, 1)))
-		cost *= slow.of(c)
+		cost := float64(total - cached)
+		if q.Load != nil {
+			cost = cost*slow.of(c) + q.Load(c, total-cached)
+		} else {
+			cost = (cost + inFlightTokens*float64(c.Stats.InFlight()*int64(max(c.SendingVMs, 1)))) * slow.of(c)
+		}
 		cost += rereadWeight * float64(max(0, total-cached-lastTokens(parts)))
 		switch {
 		case c.Stats.ejected(q.Now.UnixNano()) || q.Reach.Unreachable(q.Now, c.DataCentre):
