--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -160,7 +160,7 @@
 	}
 	if s.RoutesAddr.IsValid() {
 		d.routes = newRouteServer(s, d.control, &d.stop, meter, d.log)
-		d.control.Pieces = d.routes.broker
+		d.control.Pieces, d.control.Placements = d.routes.broker, d.routes.placements
 	}
 	d.entry = &entry.Server{
 		Views: d.control, Announcer: d.control, Runner: d.runner, Limiter: limiter,
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -16,6 +16,7 @@
 	"godwitplank/event"
 	"godwitplank/gateway"
 	"godwitplank/piece"
+	"godwitplank/placement"
 	"godwitplank/platform"
 	"godwitplank/retry"
 	"godwitplank/route"
@@ -41,6 +42,7 @@
 	gateway    *gateway.Gateway
 	dispatcher *piece.Dispatcher
 	broker     *piece.Broker
+	placements *placement.Broker
 }
 
 // viewServices looks up services and their endpoints in the newest control view.
@@ -60,18 +62,23 @@
 	return d.Service(name)
 }
 
+func (s viewServices) Document() *document.Document {
+	return s.control.View().Document
+}
+
 func newRouteServer(s *setting.Settings, c *control.Control, schedule *stop.Schedule, meter *telemetry.Meter, log event.Logger) *routeServer {
 	pool := &connection.Pool{Clock: timer.System, OnOpen: meter.RecordConnection}
 	budget := &retry.Budget{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window}
 	reachability := &route.Reachability{}
 	dispatcher := piece.NewDispatcher(viewServices{c}, platform.PieceProtocol{}, pool, budget, reachability, timer.System, meter, log)
 	broker := piece.NewBroker(s.VM, c, dispatcher, timer.System, log)
+	placements := placement.NewBroker(s.VM, s.PlacementObjective, c, viewServices{c}, reachability, timer.System, meter, log)
 	return &routeServer{
-		dispatcher: dispatcher, broker: broker,
+		dispatcher: dispatcher, broker: broker, placements: placements,
 		gateway: &gateway.Gateway{
 			DataCentre: s.DataCentre, Views: c, Protocol: platform.RequestProtocol{}, Pieces: broker, ResultAddr: platform.PieceProtocol{}.HolderAddr,
 			Policy:   route.Policies[s.Policy](),
-			Prefixes: &route.PrefixIndex{}, Reach: reachability, Crashes: c.Crashes, Budget: budget, Pool: pool, Stop: schedule, Clock: timer.System, Meter: meter, Log: log,
+			Prefixes: &route.PrefixIndex{}, Reach: reachability, Crashes: c.Crashes, Budget: budget, Pool: pool, Placements: placements, Stop: schedule, Clock: timer.System, Meter: meter, Log: log,
 		},
 	}
 }
@@ -97,6 +104,7 @@
 	if d.routes != nil {
 		d.wg.Go(func() { d.routes.dispatcher.Serve(ctx) })
 		d.wg.Go(func() { d.routes.broker.Serve(ctx) })
+		d.wg.Go(func() { d.routes.placements.Serve(ctx) })
 	}
 	operations := &platform.Control{Operations: d.control, Timeout: controlTimeout, Log: d.log}
 	for _, s := range []struct {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -14,6 +14,7 @@
 	"godwitplank/document"
 	"godwitplank/event"
 	"godwitplank/fault"
+	"godwitplank/placement"
 	"godwitplank/route"
 	"godwitplank/timer"
 )
@@ -56,6 +57,8 @@
 	started        time.Time
 	slowdown       float64
 	uncachedTokens int
+	// placement is set if another VM, or this one for all, selected the engine.
+	placement *placement.Placement
 	// sent is true once any byte of the call may have reached the endpoint.
 	sent bool
 	// timer aborts a call that exceeds its attempt timeout; nil if the call has none.
@@ -210,12 +213,13 @@
 
 // forwardOnce makes one attempt and records its outcome.
 func (g *Gateway) forwardOnce(ctx context.Context, x *exchange) outcome {
-	a, err := g.choose(x)
+	a, err := g.choose(ctx, x)
 	if err != nil {
 		return outcome{err: err}
 	}
 	x.attempts++
 	o := g.call(ctx, x, a)
+	a.placement.End(o.err != nil && ctx.Err() == nil && !errors.Is(o.err, errInputsGone))
 	if a.sent {
 		x.delivered++
 	}
@@ -224,14 +228,16 @@
 }
 
 // choose selects the endpoint for the next attempt and counts the call as in flight there.
-func (g *Gateway) choose(x *exchange) (*attempt, error) {
+func (g *Gateway) choose(ctx context.Context, x *exchange) (*attempt, error) {
 	// Uses the latest view because endpoints may have started to drain while the stages ran.
 	candidates := g.Views.View().Pools[x.service.Name]
 	q := route.Query{Now: g.Clock.Now(), DataCentre: g.DataCentre, Model: x.Model, Tried: x.tried, InputBytes: x.inputBytes, Reach: g.Reach}
 	a := &attempt{started: q.Now}
 	var chosen int
 	if x.service.Engine != nil {
-		chosen, a.uncachedTokens = g.Prefixes.Choose(q, candidates, x.Prefix)
+		if chosen = g.place(ctx, x, a, q, candidates); chosen < 0 {
+			chosen, a.uncachedTokens = g.Prefixes.Choose(q, candidates, x.Prefix)
+		}
 	} else {
 		chosen = g.Policy.Choose(q, candidates)
 	}
@@ -242,7 +248,7 @@
 	x.tried = append(x.tried, a.candidate.ID)
 	g.Log.Log(event.RequestSent, "request_id", x.ID, "endpoint", a.candidate.ID, "addr", a.candidate.Addr.String(), "attempt", x.attempts+1,
 		"cause", x.cause(), "candidates", len(candidates), "in_flight", a.candidate.Stats.InFlight(), "cached_tokens", route.Tokens(x.Prefix)-a.uncachedTokens,
-		"uncached_tokens", a.uncachedTokens, "confirmed", a.candidate.Confirmed, "left_ms", x.deadline.Sub(q.Now).Milliseconds(),
+		"uncached_tokens", a.uncachedTokens, "wait_ms", a.placement.ExpectedWait().Milliseconds(), "confirmed", a.candidate.Confirmed, "left_ms", x.deadline.Sub(q.Now).Milliseconds(),
 		"budget_left", g.Budget.Remaining(q.Now, x.service.Name, len(x.view.EntryVMs)))
 	if !x.firstByteAt.IsZero() {
 		g.Log.Log(event.StreamResumed, "request_id", x.ID, "endpoint", a.candidate.ID, "last_event", x.LastEventID, "passed_ms", q.Now.Sub(x.firstByteAt).Milliseconds())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"godwitplank/event"
 	"godwitplank/fault"
 	"godwitplank/piece"
+	"godwitplank/placement"
 	"godwitplank/retry"
 	"godwitplank/route"
 	"godwitplank/stop"
@@ -43,6 +44,8 @@
 	Crashes    *crash.Tracker
 	Budget     *retry.Budget
 	Pool       *connection.Pool
+	// Placements has the engines of some services selected by one VM for all; nil for none.
+	Placements *placement.Broker
 	// Stop is the schedule of this VM's graceful stop; nil for a VM that never stops gracefully.
 	Stop  *stop.Schedule
 	Clock timer.Clock
@@ -93,6 +96,8 @@
 	tried        []string
 	// firstByteAt is when the response to the caller started; zero before that.
 	firstByteAt time.Time
+	// longestPause is the longest time between two events of the response.
+	longestPause time.Duration
 	// answerBound ends the attempts before this VM's process ends, unless the response to the caller has started.
 	answerBound *stop.Bound
 	// status is the HTTP status sent to the caller.
@@ -270,7 +275,7 @@
 	}
 	g.Meter.RecordRequest(routeName, string(outcome), kind, now.Sub(x.received))
 	g.Log.Log(event.RequestAnswered, "request_id", x.ID, "route", routeName, "workspace", x.workspace, "document_version", version,
-		"status", x.status, "kind", kind, "message", message, "stages_ms", x.stagesDuration.Milliseconds(), "first_ms", firstByte.Milliseconds(),
+		"status", x.status, "kind", kind, "message", message, "stages_ms", x.stagesDuration.Milliseconds(), "first_ms", firstByte.Milliseconds(), "pause_ms", x.longestPause.Milliseconds(),
 		"took_ms", now.Sub(x.received).Milliseconds(), "left_ms", remaining.Milliseconds(), "attempts", x.attempts,
 		"retry_after_ms", retryAfter)
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -68,7 +68,10 @@
 	reader := bufio.NewReader(r.Body)
 	flusher := http.NewResponseController(x.w)
 	pace := paceMeter{clock: g.Clock}
-	defer func() { pace.report(a.candidate.Stats) }()
+	defer func() {
+		pace.report(a.candidate.Stats)
+		x.longestPause = max(x.longestPause, pace.longest)
+	}()
 	survived := false
 	gapTimeout := gapTimeoutFactor * time.Duration(x.route.TargetGapMS) * time.Millisecond
 	for {
@@ -87,6 +90,7 @@
 			a.conn.Close()
 			return outcome{err: truncated(err), mayHaveRun: true}
 		}
+		a.placement.First()
 		if x.firstByteAt.IsZero() {
 			g.startResponse(x, r)
 			g.releaseInputs(x)
@@ -115,13 +119,18 @@
 	clock       timer.Clock
 	first, last time.Time
 	events      int
+	// longest is the longest time between two events.
+	longest time.Duration
 }
 
 func (m *paceMeter) event() {
-	m.last = m.clock.Now()
+	now := m.clock.Now()
 	if m.events++; m.events == 1 {
-		m.first = m.last
+		m.first = now
+	} else {
+		m.longest = max(m.longest, now.Sub(m.last))
 	}
+	m.last = now
 }
 
 // report adds the pace to an endpoint's statistics, if there were at least two events.
