cold: fields of documents, announcements and renewals; shares by view

An endpoint's report states how long it is cold; it reaches the other VMs with announcements and renewals. Each VM derives its share from the entry VMs of its view, waits until it was ready once, and takes an incarnation that is new to it as cold if nothing states that. Policies skip a cold endpoint without a permit; PrefixIndex forgets its cache and gives it no prompts as their home.

Without cold_requests_per_second in the document nothing changes.

--- a/announcement.go
+++ b/announcement.go
@@ -21,6 +21,9 @@
 	Load        Load     `json:"load"`
 	// Leaving is true once the endpoint is draining. It stays true until the next incarnation.
 	Leaving bool `json:"leaving"`
+	// ColdMS is how long the endpoint stays cold: it tolerates few requests, as its service's configuration says. Nil if the
+	// endpoint does not state it.
+	ColdMS *int64 `json:"cold_ms,omitempty"`
 }
 
 // Load is the number of running and queued requests at an endpoint.
--- a/control/announce.go
+++ b/control/announce.go
@@ -81,14 +81,20 @@
 		if e.Source != endpoint.Direct || remaining < -leavingRelayPeriod || (remaining <= 0 && !e.Leaving) {
 			continue
 		}
+		coldMS := coldLeftMS(now, e)
 		if e.Revision <= since.endpoints {
+			if coldMS != nil && *coldMS == 0 {
+				coldMS = nil // the end of the cold time has passed at the receiver, too
+			}
 			reply.Renewals = append(reply.Renewals, &link.Renewal{
 				EndpointId: e.EndpointID, Incarnation: e.Incarnation, Sequence: e.Sequence, LeaseLeftMs: remaining.Milliseconds(),
-				Running: int64(e.Load.Running), Queued: int64(e.Load.Queued), PaceUs: encodePace(c.statsFor(e)),
+				Running: int64(e.Load.Running), Queued: int64(e.Load.Queued), PaceUs: encodePace(c.statsFor(e)), ColdMs: coldMS,
 			})
 			continue
 		}
-		data, err := json.Marshal(e.Announcement)
+		announcement := e.Announcement
+		announcement.ColdMS = coldMS
+		data, err := json.Marshal(announcement)
 		if err != nil {
 			continue
 		}
@@ -118,6 +124,7 @@
 }
 
 func (c *Control) mergeEndpoint(now time.Time, e endpoint.Entry, remaining time.Duration) {
+	c.assumeCold(now, &e)
 	switch c.endpoints.Announce(now, e, remaining) {
 	case endpoint.Changed:
 		c.viewStale = true
@@ -146,6 +153,7 @@
 		e.Source = endpoint.Relayed
 		e.Sequence = r.Sequence
 		e.Load = godwitplank.Load{Running: int(r.Running), Queued: int(r.Queued)}
+		e.ColdMS = r.ColdMs
 		c.mergeEndpoint(now, e, sentAt.Add(time.Duration(r.LeaseLeftMs)*time.Millisecond).Sub(now))
 		c.statsFor(&e).SetSharedPace(time.Duration(r.PaceUs) * time.Microsecond)
 	}
--- /dev/null
+++ b/control/cold.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"time"
+
+	"godwitplank/cold"
+	"godwitplank/endpoint"
+	"godwitplank/event"
+	"godwitplank/route"
+)
+
+// coldShare is this VM's share of the calls to a cold endpoint, for the members and the rate that it was derived from.
+type coldShare struct {
+	membersSince time.Time
+	rate         int
+	share        int
+}
+
+// assumeCold adds the cold time of the service's configuration to an announcement that states none, if the endpoint or its
+// incarnation is new to this VM. The endpoints that a VM learns of while it warms up have started earlier.
+func (c *Control) assumeCold(now time.Time, e *endpoint.Entry) {
+	if !e.OfService || e.ColdMS != nil || c.document == nil || !c.warmedUp(now) {
+		return
+	}
+	if current := c.endpoints.Find(e.EndpointID); current != nil && current.Incarnation >= e.Incarnation {
+		return
+	}
+	if s := c.document.Service(e.Pool); s != nil && s.ColdRequestsPerSecond > 0 && s.ColdStartMS > 0 {
+		coldMS := s.ColdStartMS
+		e.ColdMS = &coldMS
+	}
+}
+
+// coldLeftMS returns how long an endpoint stays cold for other VMs, nil if no announcement stated it. It is rounded up, so that the
+// endpoint is not warm there earlier than here.
+func coldLeftMS(now time.Time, e *endpoint.Entry) *int64 {
+	left, known := e.ColdLeft(now)
+	if !known {
+		return nil
+	}
+	ms := (left + time.Millisecond - 1).Milliseconds()
+	return &ms
+}
+
+// coldUntil returns the end of an endpoint's cold time, zero if its service has no limit for cold endpoints. The endpoints of a data
+// centre had no requests while it was evacuated, so they are cold after that, whatever they stated.
+func (c *Control) coldUntil(e *endpoint.Entry) (until time.Time, limit cold.Limit) {
+	if !e.OfService || c.document == nil {
+		return time.Time{}, limit
+	}
+	s := c.document.Service(e.Pool)
+	if s == nil || s.ColdRequestsPerSecond <= 0 {
+		return time.Time{}, limit
+	}
+	until = e.ColdUntil
+	if ended := c.evacuationEndedAt(e.DataCentre); !ended.IsZero() && ended.Add(s.ColdStart()).After(until) {
+		until = ended.Add(s.ColdStart())
+	}
+	return until, cold.Limit{PerSecond: s.ColdRequestsPerSecond, Excess: c.ColdExcess, Slack: c.ColdSlack}
+}
+
+// updateCold sets this VM's share of the calls to an endpoint while that is cold, and logs the begin and the end of that time.
+func (c *Control) updateCold(v *View, e *endpoint.Entry, stats *route.Stats) {
+	terms := cold.Terms{MembersSince: c.entryVMs.since}
+	var limit cold.Limit
+	terms.Until, limit = c.coldUntil(e)
+	k := statsKey{e.EndpointID, e.Incarnation}
+	isCold := v.PublishedAt.Before(terms.Until)
+	if isCold && c.wasReady {
+		terms.Share = c.coldShareOf(k, limit.Rate(), v.EntryVMs)
+	}
+	if !stats.UpdateCold(v.PublishedAt, terms) {
+		return
+	}
+	if isCold {
+		c.Log.Log(event.EndpointCold, "endpoint", e.EndpointID, "incarnation", e.Incarnation, "pool", e.Pool,
+			"left_ms", terms.Until.Sub(v.PublishedAt).Milliseconds(), "rate", limit.Rate(), "share", terms.Share)
+		return
+	}
+	delete(c.coldShares, k)
+	c.Log.Log(event.EndpointWarm, "endpoint", e.EndpointID, "incarnation", e.Incarnation)
+}
+
+// coldShareOf returns this VM's share of the calls to a cold endpoint. It is kept until the members change, since a view with many
+// cold endpoints would otherwise hash each with all members.
+func (c *Control) coldShareOf(k statsKey, rate int, members []string) int {
+	s, ok := c.coldShares[k]
+	if !ok || s.rate != rate || !s.membersSince.Equal(c.entryVMs.since) {
+		s = coldShare{membersSince: c.entryVMs.since, rate: rate, share: cold.Share(rate, cold.Endpoint{ID: k.id, Incarnation: k.incarnation}, members, c.Name)}
+		if c.coldShares == nil {
+			c.coldShares = make(map[statsKey]coldShare)
+		}
+		c.coldShares[k] = s
+	}
+	return s.share
+}
--- a/control/control.go
+++ b/control/control.go
@@ -65,6 +65,9 @@
 	DiskLosses int
 	// Capacity is this VM's CPU capacity in cores, 0 if it is unknown.
 	Capacity float64
+	// ColdExcess and ColdSlack limit the calls of all VMs together to a cold endpoint; see cold.Limit.
+	ColdExcess float64
+	ColdSlack  float64
 	// HubsOnly exchanges state only with hubs, the VMs that have a data folder (control VMs), so that the cost per VM
 	// does not grow with the total number of VMs. The liveness of all other VMs is taken from the hubs' replies.
 	HubsOnly bool
@@ -102,6 +105,8 @@
 	activeSince        time.Time
 	endpoints          endpoint.Table
 	stats              map[statsKey]*route.Stats
+	coldShares         map[statsKey]coldShare
+	wasReady           bool // whether a view was ready since the start
 	vms                vm.Table
 	lastExpiry         time.Time
 	prunedAt           time.Time
--- a/control/register.go
+++ b/control/register.go
@@ -46,7 +46,9 @@
 }
 
 func (c *Control) handleRegistration(e endpoint.Entry) error {
-	switch c.endpoints.Announce(c.Clock.Now(), e, serviceLeaseDuration) {
+	now := c.Clock.Now()
+	c.assumeCold(now, &e)
+	switch c.endpoints.Announce(now, e, serviceLeaseDuration) {
 	case endpoint.Conflict:
 		c.viewStale = true
 		c.Log.Log(event.EndpointConflict, "endpoint", e.EndpointID, "address", e.Address)
--- a/control/view.go
+++ b/control/view.go
@@ -105,6 +105,7 @@
 		v.Replica = &status
 	}
 	v.Ready = c.document != nil && !c.stopping && c.warmedUp(now)
+	c.wasReady = c.wasReady || v.Ready
 	if begin, ok := c.plannedStopBegin("", c.Name); ok && c.Incarnation < uint64(begin.UnixNano()) {
 		v.StopAt = begin
 	}
@@ -134,6 +135,7 @@
 	if !s.Admitted || e.Leaving || !v.PublishedAt.Before(s.RoutableUntil) {
 		return
 	}
+	c.updateCold(v, e, stats)
 	vms := v.aliveVMs
 	if e.OfService {
 		vms = len(v.EntryVMs)
@@ -152,8 +154,10 @@
 // a revision of the VM table.
 type entryVMs struct {
 	names, dispatchers []string
-	revision           uint64
-	stopping           bool // whether this VM was stopping
+	// since is when names last changed.
+	since    time.Time
+	revision uint64
+	stopping bool // whether this VM was stopping
 }
 
 // update determines the VMs again if the table has changed. Earlier slices are not modified, since views refer to them.
@@ -161,7 +165,8 @@
 	if l.names != nil && l.revision == c.vms.Revision() && l.stopping == c.stopping {
 		return
 	}
-	*l = entryVMs{names: []string{}, revision: c.vms.Revision(), stopping: c.stopping}
+	previous := *l
+	*l = entryVMs{names: []string{}, since: now, revision: c.vms.Revision(), stopping: c.stopping}
 	capacities := make(map[string]float64)
 	if c.CallersAddr.IsValid() && !c.stopping {
 		capacities[c.Name] = c.Capacity
@@ -177,6 +182,9 @@
 		largest = max(largest, capacity)
 	}
 	slices.Sort(l.names)
+	if previous.names != nil && slices.Equal(l.names, previous.names) {
+		l.since = previous.since
+	}
 	for _, name := range l.names {
 		if capacities[name] >= dispatcherCapacityRatio*largest {
 			l.dispatchers = append(l.dispatchers, name)
@@ -219,6 +227,7 @@
 	for k := range c.stats {
 		if !live[k] {
 			delete(c.stats, k)
+			delete(c.coldShares, k)
 		}
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -143,7 +143,7 @@
 		Limiter: limiter, Tally: tally, Meter: meter,
 		Name: s.VM, DataCentre: s.DataCentre, Incarnation: incarnation,
 		LinkAddr: bound.LinkAddr, OperatorsAddr: bound.OperatorsAddr, CallersAddr: bound.CallersAddr,
-		Join: s.Join, Discover: s.Discover, HubsOnly: s.HubsOnly, Capacity: s.Capacity, Bootstrap: s.Bootstrap, SpareAfter: s.SpareAfter, DiskLosses: s.DiskLosses, Clock: timer.System, Log: d.log,
+		Join: s.Join, Discover: s.Discover, HubsOnly: s.HubsOnly, Capacity: s.Capacity, ColdExcess: s.Cold.Excess, ColdSlack: s.Cold.Slack, Bootstrap: s.Bootstrap, SpareAfter: s.SpareAfter, DiskLosses: s.DiskLosses, Clock: timer.System, Log: d.log,
 	}
 	if err := d.openDataFolder(); err != nil {
 		return err
--- a/document/check_route.go
+++ b/document/check_route.go
@@ -5,6 +5,9 @@
 	"strings"
 )
 
+// maxColdStartMS is an hour. An endpoint that is cold for longer would serve almost nothing.
+const maxColdStartMS = 3_600_000
+
 // checkServices checks the services and returns the set of their names.
 func (c *checker) checkServices(services []Service) map[string]bool {
 	names := make(map[string]bool, len(services))
@@ -15,6 +18,12 @@
 		if s.Batch != nil && s.Batch.Pieces <= 0 {
 			c.addError(fieldPath+".batch.pieces", "is %d; give the maximum number of pieces in a call, at least 1", s.Batch.Pieces)
 		}
+		if s.ColdStartMS < 0 || s.ColdStartMS > maxColdStartMS {
+			c.addError(fieldPath+".cold_start_ms", "is %d; give a number of milliseconds from 0 to %d", s.ColdStartMS, maxColdStartMS)
+		}
+		if !(s.ColdRequestsPerSecond >= 0) {
+			c.addError(fieldPath+".cold_requests_per_second", "is %v; give a number over 0, or 0 for no limit", s.ColdRequestsPerSecond)
+		}
 		if s.MaxConnections < 0 {
 			c.addError(fieldPath+".max_connections", "is %d; give a number over 0, or 0 for no limit", s.MaxConnections)
 		}
--- a/document/route.go
+++ b/document/route.go
@@ -64,9 +64,14 @@
 type Service struct {
 	Name string `json:"name" yaml:"name"`
 	// MaxConnections is the number of connections that one endpoint accepts from all VMs together; 0 means no limit.
-	MaxConnections int     `json:"max_connections,omitempty" yaml:"max_connections"`
-	Engine         *Engine `json:"engine,omitempty" yaml:"engine"`
-	Batch          *Batch  `json:"batch,omitempty" yaml:"batch"`
+	MaxConnections int `json:"max_connections,omitempty" yaml:"max_connections"`
+	// ColdStartMS is how long an endpoint is cold after its start, in milliseconds, unless it states that itself.
+	ColdStartMS int64 `json:"cold_start_ms,omitempty" yaml:"cold_start_ms"`
+	// ColdRequestsPerSecond is the number of requests per second that a cold endpoint tolerates from all VMs together; 0 means
+	// no limit.
+	ColdRequestsPerSecond float64 `json:"cold_requests_per_second,omitempty" yaml:"cold_requests_per_second"`
+	Engine                *Engine `json:"engine,omitempty" yaml:"engine"`
+	Batch                 *Batch  `json:"batch,omitempty" yaml:"batch"`
 }
 
 // Engine describes the capacity of each model endpoint of a service.
@@ -100,6 +105,11 @@
 	IdleTimeoutMS   int64 `json:"idle_timeout_ms,omitempty" yaml:"idle_timeout_ms"`
 }
 
+// ColdStart returns how long an endpoint is cold after its start.
+func (s *Service) ColdStart() time.Duration {
+	return time.Duration(s.ColdStartMS) * time.Millisecond
+}
+
 // Timeout returns the maximum time that a caller waits for the answer.
 func (r *Route) Timeout() time.Duration {
 	return time.Duration(r.TimeoutMS) * time.Millisecond
--- a/endpoint/check.go
+++ b/endpoint/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"strings"
+	"time"
 	"unicode"
 	"unicode/utf8"
 
@@ -19,6 +20,9 @@
 	maxSlots             = 1 << 20
 	// maxCounter limits sequences and incarnations: an announcement with the largest number would make all later ones stale.
 	maxCounter = 1 << 62
+	// MaxCold limits the cold time that an announcement states. A longer one is shortened, since it would keep the endpoint from
+	// requests until its next start.
+	MaxCold = time.Hour
 )
 
 // Check returns the address of an announcement, or an error that names what is wrong with it.
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -35,6 +35,9 @@
 	// at the last announcement.
 	Revision uint64
 	Renewal  uint64
+	// ColdUntil is when the endpoint stops being cold as the newest announcement that stated it says, by this VM's clock; zero if
+	// none of this incarnation did.
+	ColdUntil time.Time
 	// OfService is true for an endpoint of a service. Unlike pools, services admit every endpoint.
 	OfService bool
 	// ConflictWith is the address of another machine that announces the same id, or the other id that is announced at the
@@ -102,16 +105,22 @@
 		}
 		update.Leaving = update.Leaving || (update.Incarnation == current.Incarnation && current.Leaving)
 		update.ConflictWith, update.ConflictUntil = current.ConflictWith, current.ConflictUntil
+		if update.Incarnation == current.Incarnation {
+			update.ColdUntil = current.ColdUntil
+		}
 		if current.Addr != update.Addr {
 			delete(t.idsByAddr, current.Addr)
 		}
 	}
+	if update.ColdMS != nil {
+		update.ColdUntil = now.Add(time.Duration(min(max(*update.ColdMS, 0), MaxCold.Milliseconds())) * time.Millisecond)
+	}
 	update.Expires = now.Add(remaining)
 	t.renewals++
 	update.Renewal = t.renewals
 	t.put(&update)
 	t.idsByAddr[update.Addr] = update.EndpointID
-	if current != nil && now.Before(current.Expires) && sameRouting(current, &update) {
+	if current != nil && now.Before(current.Expires) && sameRouting(current, &update) && !coldChanged(now, current, &update) {
 		update.Revision = current.Revision
 		return Renewed
 	}
@@ -201,6 +210,22 @@
 		a.TokenSHA256 == b.TokenSHA256 && a.ConflictWith == b.ConflictWith
 }
 
+// ColdLeft returns how long the endpoint stays cold, at least 0, and false if no announcement stated it.
+func (e *Entry) ColdLeft(now time.Time) (time.Duration, bool) {
+	return max(0, e.ColdUntil.Sub(now)), !e.ColdUntil.IsZero()
+}
+
+// coldTolerance is by how much the ends of a cold period differ that successive announcements of it give, since each is late by
+// another time.
+const coldTolerance = 250 * time.Millisecond
+
+// coldChanged reports whether an update says that the endpoint is cold for longer or for less time than was known.
+func coldChanged(now time.Time, current, update *Entry) bool {
+	before, _ := current.ColdLeft(now)
+	after, _ := update.ColdLeft(now)
+	return (after - before).Abs() > coldTolerance
+}
+
 // Revision returns a number that grows with every change that affects routing.
 func (t *Table) Revision() uint64 {
 	return t.revision
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -33,10 +33,12 @@
 	EndpointQuietEnded    = Event{408, log.InfoLevel, "endpoint accepts calls again after its quiet", "endpoint, incarnation", "nothing"}
 	EndpointNoticeIgnored = Event{409, log.WarnLevel, "notice of an endpoint's response ignored", "endpoint, source, reason", "correct the endpoint"}
 	DepartureNotRecorded  = Event{410, log.WarnLevel, "departure of an endpoint not recorded", "endpoint, incarnation, error", "nothing if the endpoint asks another VM; else check the group with group show"}
+	EndpointCold          = Event{420, log.InfoLevel, "endpoint is cold and gets few calls", "endpoint, incarnation, pool, left_ms, rate, share", "nothing; if rate is 0, the service's endpoints get no calls while they are cold: raise cold_slack"}
+	EndpointWarm          = Event{421, log.InfoLevel, "endpoint is no longer cold", "endpoint, incarnation", "nothing"}
 	RequestRefused        = Event{501, log.DebugLevel, "request refused", "request_id, workspace, pipeline, kind, outcome", "see the remedy of the kind"}
 	AnswerDropped         = Event{502, log.WarnLevel, "stage answer dropped: its ids do not match the call", "request_id, stage, attempt, endpoint", "the endpoint mixes up answers: remove it and fix it"}
 	OutcomeUnknown        = Event{503, log.WarnLevel, "outcome of a non-idempotent call is unknown", "request_id, workspace, stage", "check the service's own records for whether it ran"}
-	RequestSent           = Event{504, log.InfoLevel, "request sent to an endpoint", "request_id, endpoint, addr, attempt, cause, candidates, in_flight, cached_tokens, uncached_tokens, confirmed, left_ms, budget_left", "nothing"}
+	RequestSent           = Event{504, log.InfoLevel, "request sent to an endpoint", "request_id, endpoint, addr, attempt, cause, candidates, in_flight, cached_tokens, uncached_tokens, confirmed, cold, left_ms, budget_left", "nothing"}
 	RequestAnswered       = Event{505, log.InfoLevel, "request answered", "request_id, route, workspace, document_version, status, kind, message, stages_ms, first_ms, took_ms, left_ms, attempts, retry_after_ms", "if kind is not empty, check the other log lines of the request"}
 	AttemptFailed         = Event{506, log.WarnLevel, "attempt failed", "request_id, endpoint, error, sent, not_run, closed_by_endpoint, parts, took_ms, shed_ms", "if it repeats, check the endpoint"}
 	StreamResumed         = Event{507, log.InfoLevel, "stream resumed at another endpoint", "request_id, endpoint, last_event, passed_ms", "nothing"}
@@ -58,6 +60,7 @@
 	RoleChanged, GroupStarted, MembershipChanged, SnapshotTaken, SnapshotInstalled, TailTruncated, LeadershipTransferred,
 	VMAlive, VMLost, ConnectionReset,
 	EndpointAnnounced, EndpointDraining, EndpointLost, EndpointConflict, EndpointEjected, EndpointLeaves, EndpointQuiet, EndpointQuietEnded, EndpointNoticeIgnored, DepartureNotRecorded,
+	EndpointCold, EndpointWarm,
 	RequestRefused, AnswerDropped, OutcomeUnknown,
 	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, BatchFinished, StageFinished, ResultNotReleased, DispatcherFailed, RequestAccepted, RetryRefused, PromptQuarantined, RequestQuarantined,
 	DocumentActivated, DocumentRefused,
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"sync/atomic"
 	"time"
+
+	"godwitplank/cold"
 )
 
 // Candidate is an endpoint of a pool that may receive calls until its lease ends.
@@ -41,6 +43,10 @@
 	sharedPace          atomic.Int64 // as pace, over the streams of all VMs; 0 if unknown
 	leaving             atomic.Bool  // the endpoint said that it leaves
 	quietUntil          atomic.Int64 // Unix nanoseconds; 0 if the endpoint asked for no quiet or a call has succeeded since
+	completed           atomic.Int64 // calls that succeeded since the endpoint was last cold
+
+	// Schedule holds when this VM may send calls while the endpoint is cold.
+	Schedule cold.Schedule
 }
 
 // Ejection time of a failing endpoint. It starts at minEjection and doubles with each consecutive failure.
@@ -74,6 +80,7 @@
 // slowdown is the value that Begin returned for the call.
 func (s *Stats) Succeed(latency time.Duration, slowdown float64) {
 	s.inFlight.Add(-1)
+	s.completed.Add(1)
 	s.consecutiveFailures.Store(0)
 	s.ejectedUntil.Store(0)
 	s.observeLatency(time.Duration(float64(latency) / slowdown))
--- a/route/notice.go
+++ b/route/notice.go
@@ -67,9 +67,9 @@
 }
 
 // Accepts reports whether the endpoint may get a call beside inFlight others of this VM: it does not leave, is not in a quiet,
-// and after one it gets single calls until one succeeds.
+// and after one it gets single calls until one succeeds. A cold endpoint gets a call only if there is a permit for it.
 func (s *Stats) Accepts(now time.Time, inFlight int64) bool {
-	if s.leaving.Load() {
+	if s.leaving.Load() || !s.Schedule.Permits(now) {
 		return false
 	}
 	until := s.quietUntil.Load()
@@ -82,12 +82,13 @@
 	return until != 0 && now.UnixNano() >= until && s.quietUntil.CompareAndSwap(until, 0)
 }
 
-// FirstReturn returns the earliest end of a quiet among the candidates that do not leave, zero if none is in a quiet.
+// FirstReturn returns when the first of the candidates accepts calls again that do not leave, and that are in a quiet or cold and
+// without a permit; zero if there is none.
 func FirstReturn(q Query, candidates []Candidate) time.Time {
 	var first time.Time
 	for i := range candidates {
 		c := &candidates[i]
-		until := c.Stats.QuietUntil()
+		until := c.Stats.returnsAt(q.Now)
 		if c.Stats.Leaving() || !q.Now.Before(c.ExpiresAt) || !servesModel(c, q.Model) || !q.Now.Before(until) {
 			continue
 		}
--- a/route/policy.go
+++ b/route/policy.go
@@ -119,8 +119,8 @@
 const sampleSize = 3
 
 // predicted chooses the lowest predicted latency among sampleSize random candidates: the latency EWMA times the
-// slowdown by calls in flight and reported load. Ejected endpoints and those in unreachable data centres are used only
-// if no other candidate is usable.
+// slowdown by calls in flight and reported load. Ejected endpoints, those in unreachable data centres, and those that were cold and
+// have no more calls yet are used only if no other candidate is usable.
 func predicted(q Query, candidates []Candidate) int {
 	now := q.Now.UnixNano()
 	var sample [sampleSize]int
@@ -130,7 +130,7 @@
 		if !usable(&q, c) {
 			continue
 		}
-		if c.Stats.ejected(now) || q.Reach.Unreachable(q.Now, c.DataCentre) {
+		if c.Stats.ejected(now) || c.Stats.rampFull() || q.Reach.Unreachable(q.Now, c.DataCentre) {
 			fallback = i
 			continue
 		}
--- a/route/prefix.go
+++ b/route/prefix.go
@@ -42,6 +42,8 @@
 	// only if there is no other, ejected and unreachable ones only after those.
 	unconfirmedTokens = 1e6
 	ejectedTokens     = 2e6
+	// rampTokens is the cost of an endpoint that was cold and has as many calls as it should have, above all terms of load.
+	rampTokens = 1e5
 	// cacheShare is the fraction of an endpoint's prefix cache assumed to hold prompts of this VM.
 	cacheShare = 0.5
 	// cacheTTL is how long a part is assumed to stay cached after its last use.
@@ -90,7 +92,7 @@
 			continue
 		}
 		cached := p.cachedTokens(q.Now, c.Stats, parts, hashes)
-		if c.ID == home {
+		if c.ID == home && !c.Stats.emptyCache() {
 			cached = max(cached, int(homeCachedShare*float64(total-lastTokens(parts))))
 		}
 		cost := float64(total-cached) + inFlightTokens*float64(c.Stats.InFlight()*int64(max(c.SendingVMs, 1)))
@@ -102,6 +104,9 @@
 		case !c.Confirmed:
 			cost += unconfirmedTokens
 		}
+		if c.Stats.rampFull() {
+			cost += rampTokens
+		}
 		if c.DataCentre != q.DataCentre {
 			cost += remoteDCTokens
 		}
@@ -126,7 +131,8 @@
 }
 
 // homeEndpoint returns the ID of the endpoint that all VMs prefer for a prompt's session, by rendezvous hashing. All
-// parts but the last identify the session. The ID is empty if the prompt has no parts or no endpoint is healthy.
+// parts but the last identify the session. The ID is empty if the prompt has no parts or no endpoint is healthy. A cold endpoint is
+// nobody's home, since it could not take the session's requests.
 func homeEndpoint(q *Query, candidates []Candidate, hashes []uint64) string {
 	if len(hashes) == 0 {
 		return ""
@@ -135,7 +141,7 @@
 	best, bestScore := "", uint64(0)
 	for i := range candidates {
 		c := &candidates[i]
-		if !usable(q, c) || !c.Confirmed || c.Stats.ejected(q.Now.UnixNano()) || q.Reach.Unreachable(q.Now, c.DataCentre) {
+		if !usable(q, c) || !c.Confirmed || c.Stats.Schedule.Cold(q.Now) || c.Stats.ejected(q.Now.UnixNano()) || q.Reach.Unreachable(q.Now, c.DataCentre) {
 			continue
 		}
 		if score := rendezvous.Weight(session, c.ID); score > bestScore {
@@ -149,10 +155,11 @@
 // cached.
 func (p *PrefixIndex) cachedTokens(now time.Time, s *Stats, parts []PromptPart, hashes []uint64) int {
 	cache := p.endpoints[s]
+	emptied := s.Schedule.Began() // an endpoint that becomes cold loses its cache
 	n := 0
 	for i, h := range hashes {
 		part, ok := cache[h]
-		if !ok || now.Sub(part.lastUsed) > cacheTTL {
+		if !ok || now.Sub(part.lastUsed) > cacheTTL || part.lastUsed.Before(emptied) {
 			break
 		}
 		n += parts[i].Tokens
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -62,6 +62,7 @@
 	// in the document.
 	StopGrace time.Duration
 	Retry     Retry
+	Cold      Cold
 	// Warnings names the settings whose values were out of range and were replaced by the nearest one in range.
 	Warnings []string
 }
@@ -74,6 +75,13 @@
 	Window time.Duration
 }
 
+// Cold limits the requests to cold endpoints: in any second one gets at most as many as its service's configuration says, times
+// Excess, plus Slack.
+type Cold struct {
+	Excess float64
+	Slack  float64
+}
+
 // flag describes one setting.
 type flag struct {
 	name, defaultValue, usage string
@@ -110,6 +118,8 @@
 	{"retry_ratio", "0.2", "share of a service's requests that all VMs together may retry", setRetryRatio},
 	{"retry_slack", "20", "number of retries per service and window allowed in addition to retry_ratio; may be a fraction", func(s *Settings, v string) error { return setNumber(&s.Retry.Slack, v) }},
 	{"retry_window", "10s", "length of the window of retry_ratio and retry_slack, at least 100ms", setRetryWindow},
+	{"cold_excess", "1", "factor by which the requests to a cold endpoint in a second may exceed what it tolerates", func(s *Settings, v string) error { return setNumber(&s.Cold.Excess, v) }},
+	{"cold_slack", "0", "number of requests to a cold endpoint in a second that are allowed in addition to cold_excess", func(s *Settings, v string) error { return setNumber(&s.Cold.Slack, v) }},
 	{"settings_file", "", "YAML file for settings that neither a flag nor an environment variable sets; reloaded when it changes and on SIGHUP", func(s *Settings, v string) error { s.SettingsFile = v; return nil }},
 }
 
