gateway, piece, pipeline: calls to cold endpoints need a permit

A permit is taken when the endpoint is chosen, and renewed after a slow connection or a pause. Without another endpoint a request is refused as not run, with the time until the next call that this VM may send.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -44,6 +44,7 @@
 	errInputsGone        = errors.New("a stage result that the request needs no longer exists")
 	errNotRun            = errors.New("the endpoint refused the request without running it")
 	errNotSealed         = errors.New("the response does not carry the endpoint's seal")
+	errPermitExpired     = errors.New("the endpoint is cold and the connection took longer than the permit for the call lasts")
 	errUnconfirmedNotRun = errors.New("the response status suggests that the request did not run, but the endpoint did not confirm it")
 	errWrongRequestID    = errors.New("the response carries the id of another request")
 	errTruncated         = errors.New("the response ended before it was complete")
@@ -191,10 +192,10 @@
 		WithOutcome(godwitplank.NotRun, noEndpointRetryAfter)
 }
 
-// noCandidate returns errNoCandidate, or the same with the time until the first endpoint accepts calls again.
+// noCandidate returns errNoCandidate, or the same with the time until the first endpoint that is in a quiet or cold accepts calls.
 func noCandidate(q route.Query, candidates []route.Candidate) error {
 	if until := route.FirstReturn(q, candidates); until.After(q.Now) {
-		return fault.New(fault.NoEndpoint, "the endpoints that could take the request asked for no calls; retry after the indicated delay").
+		return fault.New(fault.NoEndpoint, "the endpoints that could take the request asked for no calls or have just started; retry after the indicated delay").
 			WithOutcome(godwitplank.NotRun, until.Sub(q.Now))
 	}
 	return errNoCandidate
@@ -229,20 +230,24 @@
 	candidates := g.Views.View().Pools[x.service.Name]
 	q := route.Query{Now: g.Clock.Now(), DataCentre: g.DataCentre, Model: x.Model, Tried: x.tried, InputBytes: x.inputBytes, Reach: g.Reach}
 	a := &attempt{started: q.Now}
-	var chosen int
-	if x.service.Engine != nil {
-		chosen, a.uncachedTokens = g.Prefixes.Choose(q, candidates, x.Prefix)
-	} else {
-		chosen = g.Policy.Choose(q, candidates)
-	}
-	if chosen < 0 {
-		return nil, noCandidate(q, candidates)
+	chosen := -1
+	for permitted := false; !permitted; {
+		if x.service.Engine != nil {
+			chosen, a.uncachedTokens = g.Prefixes.Choose(q, candidates, x.Prefix)
+		} else {
+			chosen = g.Policy.Choose(q, candidates)
+		}
+		if chosen < 0 {
+			return nil, noCandidate(q, candidates)
+		}
+		// Another request may have taken the permit of a cold endpoint since it was chosen. It is not chosen again then.
+		permitted = candidates[chosen].TakePermit(q.Now)
 	}
 	a.candidate = &candidates[chosen]
 	x.tried = append(x.tried, a.candidate.ID)
 	g.Log.Log(event.RequestSent, "request_id", x.ID, "endpoint", a.candidate.ID, "addr", a.candidate.Addr.String(), "attempt", x.attempts+1,
 		"cause", x.cause(), "candidates", len(candidates), "in_flight", a.candidate.Stats.InFlight(), "cached_tokens", route.Tokens(x.Prefix)-a.uncachedTokens,
-		"uncached_tokens", a.uncachedTokens, "confirmed", a.candidate.Confirmed, "left_ms", x.deadline.Sub(q.Now).Milliseconds(),
+		"uncached_tokens", a.uncachedTokens, "confirmed", a.candidate.Confirmed, "cold", a.candidate.Stats.Schedule.Cold(q.Now), "left_ms", x.deadline.Sub(q.Now).Milliseconds(),
 		"budget_left", g.Budget.Remaining(q.Now, x.service.Name, len(x.view.EntryVMs)))
 	if !x.firstByteAt.IsZero() {
 		g.Log.Log(event.StreamResumed, "request_id", x.ID, "endpoint", a.candidate.ID, "last_event", x.LastEventID, "passed_ms", q.Now.Sub(x.firstByteAt).Milliseconds())
@@ -262,6 +267,10 @@
 		return outcome{err: err}
 	}
 	a.conn = conn
+	if !c.Stats.Schedule.Renew(a.started, g.Clock.Now()) {
+		conn.Close()
+		return outcome{err: errPermitExpired}
+	}
 	if timeout := g.attemptTimeout(x, a); timeout > 0 {
 		a.timer = timer.NewAlarm(timeout, conn.Abort)
 		defer a.timer.Stop()
@@ -421,7 +430,7 @@
 	case errors.Is(o.err, errNotRun):
 		stats.Reject(now)
 		result = "not_run"
-	case errors.Is(o.err, errInputsGone) || errors.Is(o.err, connection.ErrConnectionLimit):
+	case errors.Is(o.err, errInputsGone) || errors.Is(o.err, connection.ErrConnectionLimit) || errors.Is(o.err, errPermitExpired):
 		stats.Cancel(0)
 		result = "not_run"
 	default:
--- a/piece/call.go
+++ b/piece/call.go
@@ -130,6 +130,7 @@
 // roundTrip sends a call, reads the whole response and passes it to handle. The connection is closed unless handle reports that
 // it is reusable: after a refusal or a wrong response, the next bytes on it may belong to an earlier call.
 func (d *Dispatcher) roundTrip(ctx context.Context, s *document.Service, c *route.Candidate, call *connection.Call, handle func(r *http.Response, body []byte) (reusable bool, err error)) error {
+	started := d.Clock.Now()
 	conn, err := d.Pool.Open(ctx, endpointKey(c), c.Addr, s.MaxConnections)
 	if err != nil {
 		if connection.IsDialTimeout(err) {
@@ -137,6 +138,10 @@
 		}
 		return &unsentError{err}
 	}
+	if !c.Stats.Schedule.Renew(started, d.Clock.Now()) {
+		conn.Close()
+		return &unsentError{errPermitExpired}
+	}
 	var r *http.Response
 	var body []byte
 	if _, err = conn.Send(ctx, call); err == nil {
@@ -159,6 +164,9 @@
 	return err
 }
 
+// errPermitExpired is the error of a call to a cold endpoint whose connection took longer than the permit for the call lasts.
+var errPermitExpired = errors.New("the permit for a call to a cold endpoint has expired")
+
 // unsentError is a failure to get a connection. Nothing was sent, so no endpoint has counted the call as an attempt.
 type unsentError struct {
 	error
@@ -172,7 +180,7 @@
 func (d *Dispatcher) updateEndpoint(state *endpointState, response Response, err error, elapsed, predicted time.Duration) {
 	now := d.Clock.Now()
 	switch {
-	case err != nil && !errors.Is(err, connection.ErrConnectionLimit):
+	case err != nil && !errors.Is(err, connection.ErrConnectionLimit) && !errors.Is(err, errPermitExpired):
 		backoff := min(minBackoff<<min(state.failures, 8), maxBackoff)
 		state.failures++
 		state.backoffUntil = now.Add(backoff)
--- a/piece/dispatch.go
+++ b/piece/dispatch.go
@@ -47,6 +47,9 @@
 			return
 		}
 		state := d.endpoint(endpointKey(c))
+		if !c.TakePermit(now) {
+			continue
+		}
 		units := q.take(d.offer(now, s, q, available[i:], servedDCs))
 		if len(units) == 0 {
 			continue
--- a/piece/held.go
+++ b/piece/held.go
@@ -87,7 +87,7 @@
 	for _, name := range services {
 		s := d.Services.Service(name)
 		for _, c := range d.Services.Endpoints(name) {
-			if handles := frees[c.Addr]; handles != nil && s != nil && c.Stats.Accepts(d.Clock.Now(), 0) {
+			if handles := frees[c.Addr]; handles != nil && s != nil && c.Stats.Accepts(d.Clock.Now(), 0) && c.TakePermit(d.Clock.Now()) {
 				d.group.Go(func() { d.sendFrees(ctx, s, &c, handles) })
 			}
 		}
--- a/pipeline/runner.go
+++ b/pipeline/runner.go
@@ -189,7 +189,7 @@
 	for waited := time.Duration(0); ; waited += choosePollInterval {
 		candidates := r.Pools.Pool(s.Pool)
 		q := route.Query{Now: r.Clock.Now(), DataCentre: r.DataCentre, Model: s.Model, Tried: tried}
-		if i := r.Policy.Choose(q, candidates); i >= 0 {
+		if i := r.Policy.Choose(q, candidates); i >= 0 && candidates[i].TakePermit(q.Now) {
 			return candidates[i], true
 		}
 		if len(tried) > 0 || waited >= maxChooseWait || timer.Wait(ctx, choosePollInterval) != nil {
