--- a/control/view.go
+++ b/control/view.go
@@ -116,6 +116,7 @@
 		v.Replica = &status
 	}
 	v.Ready = c.document != nil && !c.stopping && c.warmedUp(now) && c.evacuationsKnown()
+	c.wasReady = c.wasReady || v.Ready
 	if begin, ok := c.plannedStopBegin("", c.Name); ok && c.Incarnation < uint64(begin.UnixNano()) {
 		v.StopAt = begin
 	}
@@ -145,6 +146,7 @@
 	if !s.Admitted || e.Leaving || !v.PublishedAt.Before(s.RoutableUntil) || !c.evacuationsKnown() {
 		return
 	}
+	c.updateCold(v, e, stats)
 	pools := v.Pools
 	if s.Evacuated {
 		pools = v.Evacuated
@@ -167,8 +169,10 @@
 // a revision of the VM table.
 type entryVMs struct {
 	names, dispatchers []string
-	revision           uint64
-	stopping           bool // whether this VM was stopping
+	// since is when names or dispatchers last changed.
+	since    time.Time
+	revision uint64
+	stopping bool // whether this VM was stopping
 }
 
 // update determines the VMs again if the table has changed. Earlier slices are not modified, since views refer to them.
@@ -176,7 +180,8 @@
 	if l.names != nil && l.revision == c.vms.Revision() && l.stopping == c.stopping {
 		return
 	}
-	*l = entryVMs{names: []string{}, revision: c.vms.Revision(), stopping: c.stopping}
+	previous := *l
+	*l = entryVMs{names: []string{}, since: now, revision: c.vms.Revision(), stopping: c.stopping}
 	capacities := make(map[string]float64)
 	if c.CallersAddr.IsValid() && !c.stopping {
 		capacities[c.Name] = c.Capacity
@@ -197,6 +202,9 @@
 			l.dispatchers = append(l.dispatchers, name)
 		}
 	}
+	if previous.names != nil && slices.Equal(l.names, previous.names) && slices.Equal(l.dispatchers, previous.dispatchers) {
+		l.since = previous.since
+	}
 }
 
 // plannedStopBegin returns when an endpoint or a VM must stop accepting new work before its planned stop, so that
@@ -234,6 +242,7 @@
 	for k := range c.stats {
 		if !live[k] {
 			delete(c.stats, k)
+			delete(c.coldShares, k)
 		}
 	}
 }
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -20,7 +20,7 @@
 		return -1
 	}
 	chosen := route.FindUsable(q, candidates, p.EndpointID, p.Incarnation)
-	if chosen < 0 {
+	if chosen < 0 || !candidates[chosen].TakePermit(q.Now) {
 		p.End(false)
 		return -1
 	}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -129,6 +129,10 @@
 // prompts before it, the slowdown by the requests that run there, and the slowdown of those by this prompt.
 func (t *Tracker) load(now time.Time, s *route.Stats, uncached int) float64 {
 	cost := tieTokens * rand.Float64()
+	if s.Schedule.Cold(now) {
+		// The VM that sends the prompt rarely holds the permit.
+		cost += avoidTokens
+	}
 	e := t.engines[s]
 	if e == nil {
 		return cost
--- a/setting/number.go
+++ b/setting/number.go
@@ -33,6 +33,16 @@
 	return nil
 }
 
+// setOptionalNumber sets a field to a number, or to the default for an empty value: the platform renders nothing for a bound
+// that a deployment does not have.
+func setOptionalNumber(field *float64, value string, defaultValue float64) error {
+	if value == "" {
+		*field = defaultValue
+		return nil
+	}
+	return setNumber(field, value)
+}
+
 // setCount sets a field to a number without its fraction.
 func setCount(field *int, value string) error {
 	n, err := parseNumber(value)
