disk: let tests limit the bytes that a data folder takes

Cause: no test could refuse the writes of a data folder without root. Change: Folder.Limit is asked before each write and sync; Log uses its folder instead of the path only. No change without a limit.

--- a/disk/folder.go
+++ b/disk/folder.go
@@ -30,6 +30,9 @@
 type Folder struct {
 	Path     string
 	Identity Identity
+	// Limit is called before each write with its size, and with 0 before each sync. It returns how many bytes to write,
+	// and the error to return after them. Tests set it to simulate a full disk; nil means no limit.
+	Limit func(bytes int) (int, error)
 }
 
 // Open opens the data folder of a VM. It creates a missing folder and gives a new one a random replica id.
@@ -123,8 +126,8 @@
 	if err != nil {
 		return err
 	}
-	_, err = file.Write(data)
-	err = errors.Join(err, file.Sync(), file.Close())
+	_, err = f.writeTo(file, data)
+	err = errors.Join(err, f.sync(file), file.Close())
 	if err != nil {
 		return err
 	}
@@ -134,6 +137,26 @@
 	return syncFolder(f.Path)
 }
 
+// writeTo writes data to a file within the limit.
+func (f *Folder) writeTo(file *os.File, data []byte) (int, error) {
+	if f.Limit == nil {
+		return file.Write(data)
+	}
+	allowed, refusal := f.Limit(len(data))
+	n, err := file.Write(data[:allowed])
+	return n, errors.Join(err, refusal)
+}
+
+// sync syncs a file unless the limit refuses it.
+func (f *Folder) sync(file *os.File) error {
+	if f.Limit != nil {
+		if _, err := f.Limit(0); err != nil {
+			return err
+		}
+	}
+	return file.Sync()
+}
+
 func syncFolder(path string) error {
 	d, err := os.Open(path)
 	if err != nil {
--- a/disk/log.go
+++ b/disk/log.go
@@ -30,7 +30,7 @@
 // Log is the stored state of a replica: a snapshot file and a log file of the batches after it. A record in either is
 // recordMagic, the body's length and its CRC-32C (4 bytes each, little endian), and the body.
 type Log struct {
-	folder string
+	folder *Folder
 	file   *os.File
 	bytes  int64 // size of the log file
 }
@@ -73,7 +73,7 @@
 	if _, err := file.Seek(validBytes, 0); err != nil {
 		return nil, nil, err
 	}
-	return &Log{folder: f.Path, file: file, bytes: validBytes}, stored, nil
+	return &Log{folder: f, file: file, bytes: validBytes}, stored, nil
 }
 
 // Append writes a batch to the log file and syncs it.
@@ -82,9 +82,9 @@
 	if err != nil {
 		return err
 	}
-	n, err := l.file.Write(record)
+	n, err := l.folder.writeTo(l.file, record)
 	l.bytes += int64(n)
-	return errors.Join(err, l.file.Sync())
+	return errors.Join(err, l.folder.sync(l.file))
 }
 
 // Bytes returns the size of the log file, without the snapshot.
@@ -96,22 +96,21 @@
 // A crash between the two file writes leaves the new snapshot with the old log; replay skips the entries that the
 // snapshot replaces.
 func (l *Log) Compact(s *raft.Snapshot, state *raft.HardState, entries []*raft.Entry) error {
-	folder := Folder{Path: l.folder}
 	snapshot, err := encodeRecord(s)
 	if err != nil {
 		return err
 	}
-	if err := folder.write(snapshotFile, snapshot); err != nil {
+	if err := l.folder.write(snapshotFile, snapshot); err != nil {
 		return err
 	}
 	record, err := encodeRecord(&raft.Batch{HardState: state, Entries: entries})
 	if err != nil {
 		return err
 	}
-	if err := folder.write(logFile, record); err != nil {
+	if err := l.folder.write(logFile, record); err != nil {
 		return err
 	}
-	file, err := os.OpenFile(filepath.Join(l.folder, logFile), os.O_RDWR|os.O_APPEND, 0o640)
+	file, err := os.OpenFile(filepath.Join(l.folder.Path, logFile), os.O_RDWR|os.O_APPEND, 0o640)
 	if err != nil {
 		return err
 	}
