disk: report a lack of space and truncate a refused record

Cause: an append that a full disk cut short left a torn record, and the next append followed it; the error did not say that space was lacking. Change: ErrFull for ENOSPC, EDQUOT and short writes only; Log.Recover truncates to the last stored record before the next append; a new folder on a full disk opens and stores its identity later; temporary files that were not completed are removed. Test: a rapid property refuses appends and compactions at any byte; it fails without the truncation.

--- a/disk/folder.go
+++ b/disk/folder.go
@@ -33,6 +33,8 @@
 	// Limit is called before each write with its size, and with 0 before each sync. It returns how many bytes to write,
 	// and the error to return after them. Tests set it to simulate a full disk; nil means no limit.
 	Limit func(bytes int) (int, error)
+
+	unstored bool // the identity could not be stored yet
 }
 
 // Open opens the data folder of a VM. It creates a missing folder and gives a new one a random replica id.
@@ -43,22 +45,27 @@
 // OpenWithReplicaID is like Open but gives a new folder the replica id replicaID. It fails if the folder belongs to
 // another VM.
 func OpenWithReplicaID(path, vm, replicaID string) (*Folder, error) {
-	if err := os.MkdirAll(path, 0o750); err != nil {
-		return nil, fmt.Errorf("cannot create the data folder: %w; set --data_dir to a writable folder", err)
-	}
 	f := &Folder{Path: path}
+	return f, f.open(vm, replicaID)
+}
+
+// open reads the folder's identity, or creates the folder. On a full disk the folder is created later, by Recover.
+func (f *Folder) open(vm, replicaID string) error {
 	err := f.readJSON(identityFile, &f.Identity)
 	if errors.Is(err, fs.ErrNotExist) {
 		f.Identity = Identity{ReplicaID: replicaID, VM: vm}
-		err = f.writeJSON(identityFile, f.Identity)
+		f.unstored = true
+		if err = f.create(); errors.Is(err, ErrFull) {
+			err = nil
+		}
 	}
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if f.Identity.VM != vm {
-		return nil, fmt.Errorf("the data folder belongs to VM %q, not %q; set --data_dir to this VM's own folder", f.Identity.VM, vm)
+		return fmt.Errorf("the data folder belongs to VM %q, not %q; set --data_dir to this VM's own folder", f.Identity.VM, vm)
 	}
-	return f, nil
+	return nil
 }
 
 // Group returns the Raft group that this folder was prepared for or takes part in, or nil if there is none.
@@ -80,7 +87,7 @@
 		if err := os.Remove(filepath.Join(f.Path, groupFile)); err != nil && !errors.Is(err, fs.ErrNotExist) {
 			return err
 		}
-		return syncFolder(f.Path)
+		return f.syncEntries()
 	}
 	data, err := protojson.Marshal(m)
 	if err != nil {
@@ -119,48 +126,7 @@
 	return f.write(name, data)
 }
 
-// write writes and syncs a temporary file, renames it over the file, and syncs the folder.
 func (f *Folder) write(name string, data []byte) error {
-	path := filepath.Join(f.Path, name)
-	file, err := os.OpenFile(path+".new", os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o640)
-	if err != nil {
-		return err
-	}
-	_, err = f.writeTo(file, data)
-	err = errors.Join(err, f.sync(file), file.Close())
-	if err != nil {
-		return err
-	}
-	if err := os.Rename(path+".new", path); err != nil {
-		return err
-	}
-	return syncFolder(f.Path)
-}
-
-// writeTo writes data to a file within the limit.
-func (f *Folder) writeTo(file *os.File, data []byte) (int, error) {
-	if f.Limit == nil {
-		return file.Write(data)
-	}
-	allowed, refusal := f.Limit(len(data))
-	n, err := file.Write(data[:allowed])
-	return n, errors.Join(err, refusal)
-}
-
-// sync syncs a file unless the limit refuses it.
-func (f *Folder) sync(file *os.File) error {
-	if f.Limit != nil {
-		if _, err := f.Limit(0); err != nil {
-			return err
-		}
-	}
-	return file.Sync()
-}
-
-func syncFolder(path string) error {
-	d, err := os.Open(path)
-	if err != nil {
-		return err
-	}
-	return errors.Join(d.Sync(), d.Close())
+	_, err := f.replace(name, data)
+	return err
 }
--- a/disk/log.go
+++ b/disk/log.go
@@ -31,8 +31,10 @@
 // recordMagic, the body's length and its CRC-32C (4 bytes each, little endian), and the body.
 type Log struct {
 	folder *Folder
-	file   *os.File
-	bytes  int64 // size of the log file
+	file   *os.File // nil while a full disk prevents its creation
+	bytes  int64    // size of the stored records in the log file
+	// unclean is true while the file may have bytes after the stored records, or the folder's list of files is not synced.
+	unclean bool
 }
 
 // Stored is the state read when a Log is opened.
@@ -45,8 +47,13 @@
 	TruncatedAt    int64
 }
 
+// Started reports whether a replica has stored any state.
+func (s *Stored) Started() bool {
+	return s.Snapshot != nil || s.HardState != nil || len(s.Entries) > 0
+}
+
 // OpenLog opens the log and reads the stored state. It truncates a torn last record, left by a crash during a write. It
-// fails if an earlier record is corrupt.
+// fails if an earlier record is corrupt. A full disk is no error: the log then refuses to append until Recover succeeds.
 func OpenLog(f *Folder) (*Log, *Stored, error) {
 	stored := &Stored{}
 	if err := readSnapshot(f.Path, stored); err != nil {
@@ -62,29 +69,77 @@
 		return nil, nil, fmt.Errorf("%s: %w", path, err)
 	}
 	stored.TruncatedAt, stored.TruncatedBytes = validBytes, int64(len(data))-validBytes
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o640)
-	if err != nil {
+	l := &Log{folder: f, bytes: validBytes, unclean: true}
+	if err := l.Recover(); err != nil && !errors.Is(err, ErrFull) {
 		return nil, nil, err
 	}
-	err = errors.Join(file.Truncate(validBytes), file.Sync(), syncFolder(f.Path))
-	if err != nil {
-		return nil, nil, err
+	return l, stored, nil
+}
+
+// Recover truncates the log file to the stored records and syncs the file and the folder, after an append or a compaction
+// that failed.
+func (l *Log) Recover() error {
+	if !l.unclean {
+		return nil
 	}
-	if _, err := file.Seek(validBytes, 0); err != nil {
-		return nil, nil, err
+	if l.file == nil {
+		file, err := os.OpenFile(filepath.Join(l.folder.Path, logFile), os.O_CREATE|os.O_RDWR, 0o640)
+		if err != nil {
+			return asFull(err)
+		}
+		l.file = file
+	}
+	if err := l.file.Truncate(l.bytes); err != nil {
+		return asFull(err)
+	}
+	if _, err := l.file.Seek(l.bytes, 0); err != nil {
+		return err
+	}
+	err := asFull(errors.Join(l.folder.sync(l.file), l.folder.syncEntries()))
+	l.unclean = err != nil
+	return err
+}
+
+// Stored reads the stored state again. Bytes after the stored records, which a failed append left, are not read.
+func (l *Log) Stored() (*Stored, error) {
+	stored := &Stored{}
+	if err := readSnapshot(l.folder.Path, stored); err != nil {
+		return nil, err
 	}
-	return &Log{folder: f, file: file, bytes: validBytes}, stored, nil
+	path := filepath.Join(l.folder.Path, logFile)
+	data, err := os.ReadFile(path)
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, err
+	}
+	if int64(len(data)) < l.bytes {
+		return nil, corruptionError(path, len(data))
+	}
+	validBytes, err := readBatches(data[:l.bytes], stored)
+	if err == nil && validBytes < l.bytes {
+		err = corruptionError(path, int(validBytes))
+	}
+	return stored, err
 }
 
-// Append writes a batch to the log file and syncs it.
+// Append writes a batch to the log file and syncs it. After an error the batch is not stored, and the next call first
+// truncates what was written of it.
 func (l *Log) Append(b *raft.Batch) error {
+	if err := l.Recover(); err != nil {
+		return err
+	}
 	record, err := encodeRecord(b)
 	if err != nil {
 		return err
 	}
-	n, err := l.folder.writeTo(l.file, record)
-	l.bytes += int64(n)
-	return errors.Join(err, l.folder.sync(l.file))
+	if _, err = l.folder.writeTo(l.file, record); err == nil {
+		err = l.folder.sync(l.file)
+	}
+	if err != nil {
+		l.unclean = true
+		return asFull(errors.Join(err, l.Recover()))
+	}
+	l.bytes += int64(len(record))
+	return nil
 }
 
 // Bytes returns the size of the log file, without the snapshot.
@@ -94,12 +149,16 @@
 
 // Compact replaces the stored state by a snapshot, the hard state and the entries after the snapshot.
 // A crash between the two file writes leaves the new snapshot with the old log; replay skips the entries that the
-// snapshot replaces.
+// snapshot replaces. An error between them leaves the same, and the log takes appends again after Recover.
 func (l *Log) Compact(s *raft.Snapshot, state *raft.HardState, entries []*raft.Entry) error {
+	if err := l.Recover(); err != nil {
+		return err
+	}
 	snapshot, err := encodeRecord(s)
 	if err != nil {
 		return err
 	}
+	l.unclean = true
 	if err := l.folder.write(snapshotFile, snapshot); err != nil {
 		return err
 	}
@@ -107,21 +166,26 @@
 	if err != nil {
 		return err
 	}
-	if err := l.folder.write(logFile, record); err != nil {
+	replaced, err := l.folder.replace(logFile, record)
+	if !replaced {
 		return err
 	}
-	file, err := os.OpenFile(filepath.Join(l.folder.Path, logFile), os.O_RDWR|os.O_APPEND, 0o640)
-	if err != nil {
-		return err
+	file, openErr := os.OpenFile(filepath.Join(l.folder.Path, logFile), os.O_RDWR|os.O_APPEND, 0o640)
+	if openErr != nil {
+		return errors.Join(err, openErr)
 	}
-	err = l.file.Close()
+	closeErr := l.file.Close()
 	l.file = file
 	l.bytes = int64(len(record))
-	return err
+	l.unclean = err != nil
+	return errors.Join(err, closeErr)
 }
 
 // Close closes the log file.
 func (l *Log) Close() error {
+	if l.file == nil {
+		return nil
+	}
 	return l.file.Close()
 }
 
