--- a/raft/core.go
+++ b/raft/core.go
@@ -117,6 +117,10 @@
 		c.commit = max(c.commit, state.Commit)
 		c.storedState = HardState{Term: state.Term, Vote: state.Vote, Commit: state.Commit}
 	}
+	// A full disk may have taken a snapshot but not the hard state with it.
+	if term := c.log.lastTerm(); term > c.term {
+		c.term, c.vote = term, ""
+	}
 	invariant(c.commit <= c.log.last(), "commit index %d is past the last entry %d", c.commit, c.log.last())
 	c.membership = c.log.membership()
 	c.becomeFollower(c.term, "")
--- a/raft/core_test.go
+++ b/raft/core_test.go
@@ -163,3 +163,48 @@
 	c.Step(&Message{Kind: MessageKind_APPEND, Group: simulatedGroup, From: "a", To: "b", Term: 1, Index: 3, LogTerm: 1, Entries: []*Entry{{Index: 4, Term: 1}}, Commit: 4})
 	is.True(c.CaughtUp())
 }
+
+// A leader that cannot store entries hands over to the alive voter with the longest log, which wins also while the other voters
+// have a recent leader.
+func TestHandOver(t *testing.T) {
+	is := is.New(t)
+	leader, follower := newFollower("b", testMembership()), newFollower("c", testMembership())
+	is.Equal(leader.HandOver(map[string]bool{"a": true, "c": true}), nil) // a follower
+	for leader.Status().Role != PreCandidate {
+		leader.Tick()
+	}
+	leader.Step(&Message{Kind: MessageKind_PRE_VOTE_REPLY, Group: simulatedGroup, From: "c", To: "b", Term: 2})
+	leader.Step(&Message{Kind: MessageKind_VOTE_REPLY, Group: simulatedGroup, From: "c", To: "b", Term: 2})
+	leader.Output()
+	is.Equal(leader.HandOver(map[string]bool{"a": true, "c": true}), nil) // no reply in this term yet
+	for from, index := range map[string]uint64{"a": 1, "c": 2, "d": 2} {
+		leader.Step(&Message{Kind: MessageKind_APPEND_REPLY, Group: simulatedGroup, From: from, To: "b", Term: 2, Index: index})
+	}
+	is.Equal(leader.HandOver(map[string]bool{"a": true, "d": true}).To, "a")
+	m := leader.HandOver(map[string]bool{"a": true, "c": true, "d": true})
+	is.Equal(m.To, "c")
+	follower.Step(&Message{Kind: MessageKind_APPEND, Group: simulatedGroup, From: "b", To: "c", Term: 2, Index: 1, LogTerm: 1, Entries: leader.Entries()})
+	follower.Step(m)
+	other := newFollower("a", testMembership())
+	other.Step(&Message{Kind: MessageKind_APPEND, Group: simulatedGroup, From: "b", To: "a", Term: 2, Index: 1, LogTerm: 1})
+	other.Output()
+	granted := false
+	for _, request := range follower.Output().Messages {
+		other.Step(request)
+	}
+	for _, reply := range other.Output().Messages {
+		granted = granted || reply.Kind == MessageKind_VOTE_REPLY && !reply.Reject
+	}
+	is.True(granted)
+}
+
+// A snapshot whose hard state was refused by a full disk raises the term at the next start, so that terms never decrease in the
+// log.
+func TestStartRaisesTermToLog(t *testing.T) {
+	is := is.New(t)
+	c := &Core{ID: "b", Group: simulatedGroup}
+	c.Start(&HardState{Term: 2, Vote: "a", Commit: 1}, &Snapshot{Index: 9, Term: 4, Membership: testMembership()}, nil)
+	is.Equal(c.Status().Term, uint64(4))
+	is.Equal(c.Status().Commit, uint64(9))
+	is.Equal(c.Output().HardState.GetVote(), "")
+}
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -125,14 +125,46 @@
 // Compact replaces the applied entries up to index by a snapshot of the state machine at index. The driver has to store
 // the returned snapshot, which is nil if the log is compacted up to index already.
 func (c *Core) Compact(index uint64, data []byte) *Snapshot {
+	s := c.SnapshotAt(index, data)
+	if s != nil {
+		c.log.compact(s)
+	}
+	return s
+}
+
+// SnapshotAt returns what Compact returns without compacting, for a driver that stores the snapshot first. CompactTo
+// follows once it is stored.
+func (c *Core) SnapshotAt(index uint64, data []byte) *Snapshot {
 	invariant(index <= c.delivered, "entry %d is not applied yet", index)
 	if index <= c.log.base.Index {
 		return nil
 	}
 	term, _ := c.log.term(index)
-	s := &Snapshot{Index: index, Term: term, Membership: c.log.membershipAt(index), Data: data}
+	return &Snapshot{Index: index, Term: term, Membership: c.log.membershipAt(index), Data: data}
+}
+
+// CompactTo replaces the entries up to a snapshot of SnapshotAt by the snapshot.
+func (c *Core) CompactTo(s *Snapshot) {
 	c.log.compact(s)
-	return s
+}
+
+// HandOver returns a message that makes the alive voter with the longest replicated log start an election at once, for a
+// leader that can no longer store entries. It returns nil unless this replica leads and has a reply of such a voter. A reply
+// implies that the leader's term is stored.
+func (c *Core) HandOver(alive map[string]bool) *Message {
+	if c.role != Leader {
+		return nil
+	}
+	best, match := "", uint64(0)
+	for _, r := range c.membership.Replicas {
+		if p := c.progress[r.Id]; !r.Learner && r.Id != c.ID && alive[r.Id] && p != nil && p.match > match {
+			best, match = r.Id, p.match
+		}
+	}
+	if best == "" {
+		return nil
+	}
+	return &Message{Kind: MessageKind_TIMEOUT_NOW, Group: c.Group, From: c.ID, To: best, Term: c.term}
 }
 
 // Status is a copy of a replica's state. Commit is the index of the last committed entry, Last that of the last entry.
@@ -177,6 +209,11 @@
 	return c.log.entries
 }
 
+// StoredEntriesAfter returns the stored entries after an index.
+func (c *Core) StoredEntriesAfter(index uint64) []*Entry {
+	return c.StoredEntries()[index-c.log.base.Index:]
+}
+
 // StoredEntries returns the entries after the snapshot that Output has returned for storage.
 func (c *Core) StoredEntries() []*Entry {
 	return c.log.entries[:c.log.firstUnstored-c.log.base.Index-1]
--- a/raft/simulation_test.go
+++ b/raft/simulation_test.go
@@ -43,6 +43,9 @@
 	targetVoters int
 	// disksPerLoss is how many disks are lost at once.
 	disksPerLoss int
+	// fullDisks makes disks refuse writes.
+	fullDisks    bool
+	refusedDisks int
 	// lastDiskLoss is the step of the last disk loss.
 	lastDiskLoss int
 }
@@ -101,6 +104,10 @@
 			n.core = nil // before the sync: the batch is lost, or torn and truncated on recovery
 			return
 		}
+		if n.simulation.fullDisks && n.simulation.oneIn(300) {
+			n.refuse(out)
+			return
+		}
 		n.store(out)
 		if n.simulation.oneIn(3000) {
 			n.core = nil // after the sync: the messages are lost
@@ -113,6 +120,30 @@
 	}
 }
 
+// refuse acts as the driver on a full disk, which takes the snapshot of an output or nothing: a leader hands over, and the
+// node is suspended until the core is rebuilt from the disk.
+func (n *node) refuse(out Output) {
+	s := n.simulation
+	s.refusedDisks++
+	alive := make(map[string]bool)
+	for _, other := range s.nodes {
+		alive[other.disk.id] = other.core != nil
+	}
+	if m := n.core.HandOver(alive); m != nil {
+		s.network = append(s.network, m)
+	}
+	if out.Snapshot != nil && s.oneIn(2) {
+		var kept []*Entry
+		for _, e := range n.disk.entries {
+			if e.Index > out.Snapshot.Index && e.Term >= out.Snapshot.Term {
+				kept = append(kept, e)
+			}
+		}
+		n.disk.snapshot, n.disk.entries = out.Snapshot, kept
+	}
+	n.core = nil
+}
+
 func (n *node) store(out Output) {
 	if out.Snapshot != nil {
 		n.disk.snapshot, n.disk.entries = out.Snapshot, nil
@@ -427,12 +458,14 @@
 	targetVoters int
 	// disksPerLoss is how many disks are lost at once.
 	disksPerLoss int
+	// fullDisks makes disks refuse writes.
+	fullDisks bool
 }
 
 // runSimulation runs the steps with faults, waits for convergence, and checks that no acknowledged entry is lost.
 func runSimulation(seed uint64, config groupConfig, stepCount int) *simulation {
 	s := newSimulation(seed, config.voters, config.spares)
-	s.targetVoters, s.disksPerLoss = config.targetVoters, config.disksPerLoss
+	s.targetVoters, s.disksPerLoss, s.fullDisks = config.targetVoters, config.disksPerLoss, config.fullDisks
 	for range stepCount {
 		s.step()
 	}
@@ -452,10 +485,12 @@
 		{"5_voters", groupConfig{voters: 5, spares: 2, disksPerLoss: 2}},
 		{"5_voters_of_5", groupConfig{voters: 5, targetVoters: 5, disksPerLoss: 2}},
 		{"3_grown_to_5", groupConfig{voters: 3, spares: 2, targetVoters: 5, disksPerLoss: 2}},
+		{"3_voters_full_disks", groupConfig{voters: 3, spares: 2, disksPerLoss: 1, fullDisks: true}},
+		{"5_voters_full_disks", groupConfig{voters: 5, spares: 2, disksPerLoss: 2, fullDisks: true}},
 		{"3_grown_to_5_with_spares", groupConfig{voters: 3, spares: 4, targetVoters: 5, disksPerLoss: 2}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			seeds, acked, repairs, lostDisks := 0, 0, 0, 0
+			seeds, acked, repairs, lostDisks, refusedDisks := 0, 0, 0, 0, 0
 			rapid.Check(t, func(r *rapid.T) {
 				seed := rapid.Uint64().Draw(r, "seed")
 				s := runSimulation(seed, c.groupConfig, stepCount(t))
@@ -463,8 +498,9 @@
 				acked += len(s.acked)
 				repairs += s.repairs
 				lostDisks += s.lostDisks
+				refusedDisks += s.refusedDisks
 			})
-			t.Logf("%d seeds of %d steps: %d entries acknowledged, %d disks lost, %d repairs", seeds, stepCount(t), acked, lostDisks, repairs)
+			t.Logf("%d seeds of %d steps: %d entries acknowledged, %d disks lost, %d full, %d repairs", seeds, stepCount(t), acked, lostDisks, refusedDisks, repairs)
 		})
 	}
 }
