control: stay up on a full disk and take part again without a restart

Cause: every refused write ended the process. On a group of one whose writes are refused ended with "cannot store the replicated log: no space left on device". Change: the replica is suspended and its core rebuilt from the stored state; a leader hands over; the disk is tried once per second. Events 208 to 210, the metric godwitplank_disk_full and disk_full in the status. Without the rebuild TestFullVoterCountsForNothing fails (vote of term 2 kept).

--- a/console/status.go
+++ b/console/status.go
@@ -14,14 +14,16 @@
 
 // Status is the response body of GET /v1/status: the system as the answering VM sees it.
 type Status struct {
-	VM              string           `json:"vm"`
-	DocumentVersion uint64           `json:"document_version"`
-	DocumentDigest  string           `json:"document_digest"`
-	Ready           bool             `json:"ready"`
-	Stopping        bool             `json:"stopping"`
-	Group           *GroupStatus     `json:"group,omitempty"`
-	VMs             []VMStatus       `json:"vms"`
-	Endpoints       []EndpointStatus `json:"endpoints"`
+	VM              string `json:"vm"`
+	DocumentVersion uint64 `json:"document_version"`
+	DocumentDigest  string `json:"document_digest"`
+	Ready           bool   `json:"ready"`
+	Stopping        bool   `json:"stopping"`
+	// DiskFull is true while the disk of the answering VM refuses writes for a lack of space.
+	DiskFull  bool             `json:"disk_full,omitempty"`
+	Group     *GroupStatus     `json:"group,omitempty"`
+	VMs       []VMStatus       `json:"vms"`
+	Endpoints []EndpointStatus `json:"endpoints"`
 }
 
 // GroupStatus describes the Raft group: from its leader if it answers, or else as last known to this VM. Repaired is
@@ -79,7 +81,7 @@
 func (c *Console) status(ctx context.Context) Status {
 	v := *c.Views.View()
 	v.Group = c.Operations.Group(ctx)
-	s := Status{VM: c.Name, DocumentDigest: v.Digest, Ready: v.Ready, Stopping: v.Stopping, VMs: []VMStatus{}, Endpoints: []EndpointStatus{}}
+	s := Status{VM: c.Name, DocumentDigest: v.Digest, Ready: v.Ready, Stopping: v.Stopping, DiskFull: !v.DiskFullSince.IsZero(), VMs: []VMStatus{}, Endpoints: []EndpointStatus{}}
 	if v.Document != nil {
 		s.DocumentVersion = v.Document.Version
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -114,6 +113,7 @@
 	spendCounters      spend.Counters
 	spendSavedRevision uint64
 	spendSavedAt       time.Time
+	diskFull           fullDisk
 	fatalErr           error
 }
 
@@ -150,7 +150,8 @@
 	if err := c.openReplica(); err != nil {
 		return err
 	}
-	return c.bootstrap()
+	c.handleJoinError(c.bootstrap())
+	return c.fatalErr
 }
 
 // Run runs the control loop until ctx ends or a fatal error occurs, such as a failed disk write, which it returns.
@@ -207,7 +208,7 @@
 		c.brokerTerm = 0
 	}
 	c.lastTick = now
-	if c.replica != nil {
+	if c.replica != nil && !c.diskFull.suspended {
 		c.replica.core.Tick()
 	}
 }
@@ -251,6 +252,7 @@
 	c.repair(now)
 	c.discardLostGroup()
 	c.updateSpend(now)
+	c.retryWrites(now)
 	c.viewStale = c.viewStale || now.Sub(c.publishedAt) >= viewRefreshInterval
 }
 
@@ -283,7 +285,8 @@
 	}
 }
 
-// applyDocument stores and activates a document if it is newer than the active one. An older version is never restored.
+// applyDocument stores and activates a document if it is newer than the active one. An older version is never restored. On
+// a full disk the document is stored later: a majority has it already.
 func (c *Control) applyDocument(d *state.DocumentChange) {
 	if d.GetVersion() <= c.storedDocument.GetVersion() {
 		return
@@ -294,8 +297,10 @@
 		return
 	}
 	if err := c.persistDocument(d); err != nil {
-		c.fatalErr = fmt.Errorf("cannot store the document: %w; repair the disk and restart the VM", err)
-		return
+		c.handleDocumentError(err)
+		if c.fatalErr != nil {
+			return
+		}
 	}
 	c.document = parsed
 	c.storedDocument = proto.CloneOf(d)
--- a/control/group.go
+++ b/control/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -193,17 +194,22 @@
 	return "", nil
 }
 
-// startGroup stores the initial snapshot, which is the same on all voters, and starts the replica.
+// startGroup stores the initial snapshot, which is the same on all voters, and starts the replica. A start that a full disk
+// interrupted is continued from what it stored.
 func (c *Control) startGroup(created *raft.Membership) error {
 	m := &raft.Membership{Group: created.Group, Replicas: created.Replicas}
-	log, _, err := disk.OpenLog(c.Folder)
+	log, stored, err := disk.OpenLog(c.Folder)
 	if err != nil {
 		return err
 	}
+	if stored.Started() {
+		c.startReplica(m.Group, log, stored)
+		return nil
+	}
 	first := &raft.Snapshot{Index: firstIndex, Term: 1, Membership: m, Data: created.InitialImage}
 	hardState := &raft.HardState{Term: 1, Commit: firstIndex}
 	if err := log.Compact(first, hardState, nil); err != nil {
-		return err
+		return errors.Join(err, log.Close())
 	}
 	c.startReplica(m.Group, log, &disk.Stored{HardState: hardState, Snapshot: first})
 	c.Log.Log(event.GroupStarted, "group", m.Group, "voters", vmNames(m))
--- a/control/replica.go
+++ b/control/replica.go
@@ -45,9 +45,8 @@
 	if stored.TruncatedBytes > 0 {
 		c.Log.Log(event.TailTruncated, "offset", stored.TruncatedAt, "bytes", stored.TruncatedBytes)
 	}
-	started := stored.Snapshot != nil || stored.HardState != nil || len(stored.Entries) > 0
 	prepared := len(group.Replicas) > 0
-	if prepared && !started {
+	if prepared && !stored.Started() {
 		return log.Close()
 	}
 	c.startReplica(group.Group, log, stored)
@@ -67,27 +66,31 @@
 
 // flushReplica writes and syncs the core's output to disk before it sends messages and applies committed entries.
 func (c *Control) flushReplica() {
+	for c.replica != nil && c.fatalErr == nil && !c.diskFull.suspended && c.replica.core.HasOutput() {
+		c.flushOutput()
+	}
+	if c.replica != nil {
+		c.handleRoleChange(c.replica)
+	}
+}
+
+func (c *Control) flushOutput() {
 	r := c.replica
-	for r != nil && c.fatalErr == nil && r.core.HasOutput() {
-		out := r.core.Output()
-		started := c.Clock.Now()
-		stored, err := r.persist(out)
-		if err != nil {
-			c.fatalErr = fmt.Errorf("cannot store the replicated log: %w; repair the disk and restart the VM", err)
-			return
-		}
-		if stored {
-			c.Meter.RecordSync(c.Clock.Now().Sub(started))
-		}
-		r.core.Synced()
-		for _, m := range out.Messages {
-			c.sendMessage(m)
-		}
-		c.apply(out)
+	out := r.core.Output()
+	started := c.Clock.Now()
+	stored, err := r.persist(out)
+	if err != nil {
+		c.handleLogError(err)
+		return
+	}
+	if stored {
+		c.Meter.RecordSync(c.Clock.Now().Sub(started))
 	}
-	if r != nil {
-		c.handleRoleChange(r)
+	r.core.Synced()
+	for _, m := range out.Messages {
+		c.sendMessage(m)
 	}
+	c.apply(out)
 }
 
 // persist writes and syncs the core's output, and reports whether there was anything to write.
@@ -152,20 +155,22 @@
 	delete(r.waiters, command.Id)
 }
 
-// compact replaces the applied part of the log by a snapshot once the log is large enough.
+// compact replaces the applied part of the log by a snapshot once the log is large enough. The core keeps its entries until
+// the snapshot is stored, so that a full disk delays the compaction without effect on the replica.
 func (c *Control) compact() {
 	r := c.replica
-	if c.fatalErr != nil || len(r.core.Entries()) < compactionEntries && r.log.Bytes() < compactionBytes {
+	if c.fatalErr != nil || c.diskFull.active() || len(r.core.Entries()) < compactionEntries && r.log.Bytes() < compactionBytes {
 		return
 	}
-	s := r.core.Compact(r.applied, r.machine.Image())
+	s := r.core.SnapshotAt(r.applied, r.machine.Image())
 	if s == nil {
 		return
 	}
-	if err := r.log.Compact(s, r.core.HardState(), r.core.StoredEntries()); err != nil {
-		c.fatalErr = fmt.Errorf("cannot store a snapshot: %w; repair the disk and restart the VM", err)
+	if err := r.log.Compact(s, r.core.HardState(), r.core.StoredEntriesAfter(s.Index)); err != nil {
+		c.handleWriteError("a snapshot", err)
 		return
 	}
+	r.core.CompactTo(s)
 	c.Log.Log(event.SnapshotTaken, "index", s.Index, "bytes", len(s.Data))
 }
 
@@ -216,7 +221,7 @@
 // handleMessage passes a message to the Raft core. A data folder without a group joins the group whose messages are
 // addressed to its replica id.
 func (c *Control) handleMessage(m *raft.Message) {
-	if c.Folder == nil || m.To != c.Folder.Identity.ReplicaID {
+	if c.Folder == nil || m.To != c.Folder.Identity.ReplicaID || c.diskFull.suspended {
 		return
 	}
 	if c.replica == nil {
@@ -238,7 +243,7 @@
 	if prepared != nil && len(prepared.Replicas) > 0 {
 		// The START step of a prepared group did not arrive, but other voters already run the group.
 		if prepared.Group == m.Group {
-			c.fatalErr = c.startGroup(prepared)
+			c.handleJoinError(c.startGroup(prepared))
 		}
 		return
 	}
@@ -246,7 +251,7 @@
 		return
 	}
 	if err := c.Folder.SetGroup(&raft.Membership{Group: m.Group}); err != nil {
-		c.fatalErr = err
+		c.handleJoinError(err)
 		return
 	}
 	log, stored, err := disk.OpenLog(c.Folder)
--- a/control/server.go
+++ b/control/server.go
@@ -98,7 +98,7 @@
 		OperatorsAddr: c.OperatorsAddr.String(), CallersAddr: c.CallersAddr.String(),
 		DocumentVersion: c.storedDocument.GetVersion(), Stopping: c.stopping, Capacity: c.Capacity,
 	}
-	if c.Folder != nil {
+	if c.Folder != nil && c.Folder.Stored() {
 		v.ReplicaId = c.Folder.Identity.ReplicaID
 	}
 	return v
--- a/control/spend.go
+++ b/control/spend.go
@@ -42,17 +42,19 @@
 	c.saveSpend(now)
 }
 
+// saveSpend stores the spend counters. Counters that cannot be stored are stored later.
 func (c *Control) saveSpend(now time.Time) {
 	lines, revision := c.spendCounters.ChangedSince(0)
 	data, err := proto.Marshal(&link.SpendLines{Lines: encodeSpend(lines)})
 	if err == nil {
 		err = c.Folder.Write(spendFile, data)
 	}
+	c.spendSavedAt = now
 	if err != nil {
-		c.fatalErr = fmt.Errorf("cannot store the spend counters: %w; repair the disk and restart the VM", err)
+		c.handleSpendError(err)
 		return
 	}
-	c.spendSavedRevision, c.spendSavedAt = revision, now
+	c.spendSavedRevision = revision
 }
 
 // raiseIncarnation changes this VM's incarnation. What was counted so far stays under the earlier one, so that it does not
--- a/control/view.go
+++ b/control/view.go
@@ -32,6 +32,8 @@
 	Stopping  bool
 	// StopAt is when this VM must begin its planned stop; zero if none is planned.
 	StopAt time.Time
+	// DiskFullSince is when the disk began to refuse writes for a lack of space; zero while it takes them.
+	DiskFullSince time.Time
 	// Spend is the usage per workspace and stage, summed over all VMs.
 	Spend []spend.Total
 	// Ready is true while the VM has a document, is warmed up and is not stopping.
@@ -100,6 +102,7 @@
 	c.entryVMs.update(c, now)
 	v.EntryVMs, v.DispatcherVMs = c.entryVMs.names, c.entryVMs.dispatchers
 	v.Spend = c.spendCounters.Totals()
+	v.DiskFullSince = c.diskFull.since
 	if c.replica != nil {
 		status := c.replica.core.Status()
 		v.Replica = &status
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -19,6 +19,7 @@
 		{Name: "godwitplank_vms_alive", Description: "VMs that are alive as this one knows, itself among them.", Read: d.readVMs},
 		{Name: "godwitplank_stage_queue_pieces", Description: "Pieces of a stage's service that wait here for an endpoint.", Read: d.readQueues},
 		{Name: "godwitplank_retry_budget_left", Description: "Calls of a service that this VM may still repeat now.", Read: d.readBudgets},
+		{Name: "godwitplank_disk_full", Description: "1 while the disk of the data folder refuses writes for a lack of space.", Read: d.readDiskFull},
 		{Name: "godwitplank_log_lines_dropped", Description: "Log lines that the output did not take in time, since the start.", Read: d.readDropped},
 	}
 }
@@ -108,6 +109,13 @@
 	return singleReading(float64(d.output.Dropped()))
 }
 
+func (d *Daemon) readDiskFull() []telemetry.Reading {
+	if d.control.View().DiskFullSince.IsZero() {
+		return singleReading(0)
+	}
+	return singleReading(1)
+}
+
 func (d *Daemon) readQuiet() []telemetry.Reading {
 	now := timer.System.Now()
 	return d.countCandidates(func(s *route.Stats) bool { return now.Before(s.QuietUntil()) })
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -20,6 +20,9 @@
 	SnapshotInstalled     = Event{205, log.InfoLevel, "snapshot installed", "index", "nothing"}
 	TailTruncated         = Event{206, log.WarnLevel, "torn tail truncated from the log", "file, offset, bytes", "nothing after a crash; else check the disk"}
 	LeadershipTransferred = Event{207, log.InfoLevel, "leadership transferred", "to", "nothing"}
+	DiskFull              = Event{208, log.ErrorLevel, "disk refuses writes for a lack of space", "what, suspended, refused, error", "free space on the disk of the data folder; the VM takes part again by itself"}
+	DiskWritable          = Event{209, log.InfoLevel, "disk takes writes again", "full_ms, refused", "nothing"}
+	SpendNotStored        = Event{210, log.WarnLevel, "spend counters not stored", "error", "repair the disk; the counters are stored later"}
 	VMAlive               = Event{301, log.InfoLevel, "VM alive", "peer, data_centre, incarnation", "nothing"}
 	VMLost                = Event{302, log.WarnLevel, "VM lost", "peer, data_centre", "check whether the VM or the link to its data centre failed"}
 	ConnectionReset       = Event{303, log.InfoLevel, "unresponsive connection to a VM closed", "peer", "nothing; it is reopened. If it repeats, check the link"}
@@ -56,6 +59,7 @@
 var Catalogue = []Event{
 	Started, StopStarted, Stopped, Ready, Reloaded, ReloadRefused, StopStepFailed, LinesDropped, SettingClamped,
 	RoleChanged, GroupStarted, MembershipChanged, SnapshotTaken, SnapshotInstalled, TailTruncated, LeadershipTransferred,
+	DiskFull, DiskWritable, SpendNotStored,
 	VMAlive, VMLost, ConnectionReset,
 	EndpointAnnounced, EndpointDraining, EndpointLost, EndpointConflict, EndpointEjected, EndpointLeaves, EndpointQuiet, EndpointQuietEnded, EndpointNoticeIgnored, DepartureNotRecorded,
 	RequestRefused, AnswerDropped, OutcomeUnknown,
