gateway, cli: explain where a request would go

Cause: an operator could see why a request went to an endpoint only afterwards, from the logs. Change: POST /v1/explain at the operators' address and godwitplank explain where.

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -12,7 +12,7 @@
 )
 
 func (t *tool) explainCommand() *cobra.Command {
-	return &cobra.Command{
+	c := &cobra.Command{
 		Use:   "explain REQUEST_ID [LOG...]",
 		Short: "Show a request's log lines from several VMs and its first error or long delay",
 		Long: "Reads the daemons' logs from files, or from standard input if no file is given. Each line is a JSON object,\n" +
@@ -44,4 +44,6 @@
 			return report.Write(t.out)
 		},
 	}
+	c.AddCommand(t.whereCommand())
+	return c
 }
--- a/console/console.go
+++ b/console/console.go
@@ -47,6 +47,8 @@
 	Views         entry.Views
 	Operations    Operations
 	Metrics       http.Handler
+	// Explainer serves POST /v1/explain; nil on a VM without a route address.
+	Explainer http.Handler
 	// Token is the operator token. Everything but the probes and metrics requires it; if it is empty, every such
 	// request is refused.
 	Token string
@@ -64,6 +66,7 @@
 	r.HandleFunc("/v1/status", c.requireToken(c.getStatus)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/spend", c.requireToken(c.getSpend)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/group", c.requireToken(c.putGroup)).Methods(http.MethodPut)
+	r.HandleFunc("/v1/explain", c.requireToken(c.explain)).Methods(http.MethodPost)
 	c.addPages(r)
 	r.NotFoundHandler = http.HandlerFunc(serveNotFound)
 	r.MethodNotAllowedHandler = r.NotFoundHandler
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"godwitplank/control"
 	"godwitplank/entry"
 	"godwitplank/event"
+	"godwitplank/gateway"
 	"godwitplank/link"
 	"godwitplank/pipeline"
 	"godwitplank/route"
@@ -173,6 +174,9 @@
 		Name: s.VM, DataCentre: s.DataCentre, OperatorsAddr: bound.OperatorsAddr, CallersAddr: bound.CallersAddr,
 		Views: d.control, Operations: d.control, Metrics: meter.Handler(), Token: s.OperatorToken, Log: d.log,
 	}
+	if d.routes != nil {
+		operators.Explainer = &gateway.Explainer{Gateway: d.routes.gateway, Broker: d.routes.broker, Policy: s.Policy}
+	}
 	d.callers = &http.Server{Handler: d.notice.wrap(d.entry.Handler()), ReadHeaderTimeout: readHeaderTimeout}
 	d.operators = &http.Server{Handler: operators.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	d.link = grpc.NewServer(append(telemetry.ServerTracing(),
