control: take part in a group only with a stored identity

Cause: a new data folder on a full disk could store a group before its identity, and had another replica id after a restart. Change: a VM whose identity is not stored announces no replica, refuses the steps of a group creation and bootstraps later.

--- a/control/control.go
+++ b/control/control.go
@@ -150,7 +150,11 @@
 	if err := c.openReplica(); err != nil {
 		return err
 	}
-	c.handleJoinError(c.bootstrap())
+	if c.Folder != nil && !c.Folder.Stored() {
+		c.handleJoinError(disk.ErrFull)
+	} else {
+		c.handleJoinError(c.bootstrap())
+	}
 	return c.fatalErr
 }
 
--- a/control/full_disk_test.go
+++ b/control/full_disk_test.go
@@ -239,6 +239,10 @@
 func TestStartOnFullDisk(t *testing.T) {
 	for name, prepare := range map[string]func(dir string){
 		"new": func(string) {},
+		"without a group": func(dir string) {
+			_, err := disk.OpenWithReplicaID(dir, threeSeeds[0].Addr().String(), SeedReplicaID(threeSeeds[0]))
+			is.New(t).NoErr(err)
+		},
 		"with state": func(dir string) {
 			c := openSeededControl(t, dir, threeSeeds[0], true, threeSeeds[:1])
 			c.applyDocument(documentOfVersion(t, 7))
@@ -249,15 +253,15 @@
 			is := is.New(t)
 			dir := t.TempDir()
 			prepare(dir)
-			folder, err := disk.OpenWithReplicaID(dir, threeSeeds[0].Addr().String(), SeedReplicaID(threeSeeds[0]))
-			is.NoErr(err)
-			folder.Limit = refuseAfter(40)
+			folder := &disk.Folder{Path: dir, Limit: refuseAfter(40)}
+			is.NoErr(folder.Init(threeSeeds[0].Addr().String(), SeedReplicaID(threeSeeds[0])))
 			c := &Control{
 				Name: threeSeeds[0].Addr().String(), LinkAddr: threeSeeds[0], Join: threeSeeds[:1], Bootstrap: true, Folder: folder, Clock: timer.System,
 			}
 			is.NoErr(c.Init())
 			runLoop(t, c)
 			eventually(t, "the condition", func() bool { return !c.View().DiskFullSince.IsZero() })
+			is.NoErr(c.do(t.Context(), func() { is.Equal(c.describeSelf().ReplicaId != "", name != "new") }))
 			if name == "with state" {
 				is.Equal(c.View().Document.Version, uint64(7))
 			}
--- a/control/group.go
+++ b/control/group.go
@@ -161,6 +161,9 @@
 	if c.Folder == nil {
 		return "it has no data folder; name VMs that run with --data_dir", nil
 	}
+	if !c.Folder.Stored() {
+		return "its disk is full and its data folder has no identity yet; free space on the disk", nil
+	}
 	existing, err := c.Folder.Group()
 	if err != nil {
 		return "", err
--- a/disk/folder.go
+++ b/disk/folder.go
@@ -46,11 +46,12 @@
 // another VM.
 func OpenWithReplicaID(path, vm, replicaID string) (*Folder, error) {
 	f := &Folder{Path: path}
-	return f, f.open(vm, replicaID)
+	return f, f.Init(vm, replicaID)
 }
 
-// open reads the folder's identity, or creates the folder. On a full disk the folder is created later, by Recover.
-func (f *Folder) open(vm, replicaID string) error {
+// Init reads the identity of the folder at Path, or creates the folder. On a full disk the folder is created later, by
+// Recover. It fails if the folder belongs to another VM.
+func (f *Folder) Init(vm, replicaID string) error {
 	err := f.readJSON(identityFile, &f.Identity)
 	if errors.Is(err, fs.ErrNotExist) {
 		f.Identity = Identity{ReplicaID: replicaID, VM: vm}
--- a/disk/full_test.go
+++ b/disk/full_test.go
@@ -98,7 +98,7 @@
 func TestNewFolderOnFullDisk(t *testing.T) {
 	is := is.New(t)
 	f := &Folder{Path: t.TempDir(), Limit: limitTo(0, syscall.ENOSPC)}
-	is.NoErr(f.open("vm-a", "replica"))
+	is.NoErr(f.Init("vm-a", "replica"))
 	is.True(!f.Stored())
 	is.True(errors.Is(f.Recover(), ErrFull))
 	f.Limit = nil
