control: a learner on a full disk does not hold up a repair

Cause: a VM with a full disk stays alive. As a learner it never catches up, and the leader waited for it while a lost voter was to be replaced. Proposers of a leader whose first entry was refused waited for their time-out. Change: a learner that has not replied for SpareAfter does not count as alive; waiters are closed whenever the replica is suspended. Test: TestSilentLearner fails without the check (no step instead of add_learner).

--- a/control/control.go
+++ b/control/control.go
@@ -114,6 +114,7 @@
 	spendSavedRevision uint64
 	spendSavedAt       time.Time
 	diskFull           fullDisk
+	learnerContacts    map[string]time.Time // when this VM, as leader, last heard of each learner, by replica id
 	fatalErr           error
 }
 
--- a/control/full_disk.go
+++ b/control/full_disk.go
@@ -7,6 +7,7 @@
 
 	"godwitplank/disk"
 	"godwitplank/event"
+	"godwitplank/raft"
 )
 
 const (
@@ -65,6 +66,8 @@
 		c.Log.Log(event.LeadershipTransferred, "to", c.vmForReplica(m.To))
 		c.sendMessage(m)
 	}
+	// Also of a leader whose first entry was refused, which no role change showed.
+	c.replica.closeWaiters()
 	c.diskFull.suspended = true
 	c.handleWriteError("the replicated log", err)
 	if c.rebuildReplica(); c.fatalErr == nil {
@@ -150,3 +153,25 @@
 	}
 	return nil
 }
+
+// noteLearners records when the leader last heard of each learner. A VM whose disk is full stays alive, so that a learner there
+// would otherwise keep the group waiting for it while other spares could replace a lost voter.
+func (c *Control) noteLearners(now time.Time, status raft.Status) {
+	contacts := make(map[string]time.Time)
+	for _, r := range status.Membership.GetReplicas() {
+		if !r.Learner {
+			continue
+		}
+		contacts[r.Id] = now
+		if last, ok := c.learnerContacts[r.Id]; ok && !status.RecentlyActive[r.Id] {
+			contacts[r.Id] = last
+		}
+	}
+	c.learnerContacts = contacts
+}
+
+// learnerSilent reports whether a learner has not replied to the leader for SpareAfter.
+func (c *Control) learnerSilent(now time.Time, id string) bool {
+	last, ok := c.learnerContacts[id]
+	return ok && now.Sub(last) > c.SpareAfter
+}
--- a/control/full_disk_test.go
+++ b/control/full_disk_test.go
@@ -300,11 +300,33 @@
 	c.updateSpend(c.Clock.Now())
 	is.NoErr(c.fatalErr)
 	is.True(c.spendSavedRevision != c.spendCounters.Revision()) // stored later
-	for range 100 {
-		c.replica.core.Step(&raft.Message{
-			Kind: raft.MessageKind_VOTE, Group: c.replica.core.Group, From: SeedReplicaID(threeSeeds[1]), To: c.replica.core.ID, Term: 2, Index: 1, LogTerm: 1,
-		})
-		c.flushReplica()
-	}
+	c.handleMessage(&raft.Message{
+		Kind: raft.MessageKind_VOTE, Group: c.replica.core.Group, From: SeedReplicaID(threeSeeds[1]), To: c.replica.core.ID, Term: 2, Index: 1, LogTerm: 1,
+	})
+	c.flushReplica()
 	is.True(errors.Is(c.fatalErr, syscall.EIO))
 }
+
+// A learner that does not reply, as on a full disk, does not keep the group waiting although its VM is alive.
+func TestSilentLearner(t *testing.T) {
+	is := is.New(t)
+	c := newControl(t, "vm-a", 1)
+	now := c.Clock.Now()
+	status := raft.Status{
+		Role: raft.Leader, MembershipStable: true, ID: "a", Commit: 9, Match: map[string]uint64{"a": 9, "c": 9},
+		Membership: &raft.Membership{Replicas: []*raft.Replica{{Id: "a", Vm: "vm-a"}, {Id: "b", Vm: "vm-b"}, {Id: "c", Vm: "vm-c"}, {Id: "d", Vm: "vm-d", Learner: true}}},
+	}
+	step := func(at time.Time, active bool) raft.RepairStep {
+		for name, id := range map[string]string{"vm-b": "b2", "vm-c": "c", "vm-d": "d"} {
+			c.vms.Merge(at, vm.Entry{Name: name, ReplicaID: id, LastSeen: at})
+		}
+		status.RecentlyActive = map[string]bool{"d": active}
+		c.noteLearners(at, status)
+		s, _ := raft.NextMembership(status, c.replicaHealth(at, status.Membership))
+		return s
+	}
+	is.Equal(step(now, false), raft.NoStep) // it gets time to catch up
+	later := now.Add(c.SpareAfter + time.Second)
+	is.Equal(step(later, true), raft.NoStep)
+	is.Equal(step(later.Add(c.SpareAfter+time.Second), false), raft.AddLearner)
+}
--- a/control/repair.go
+++ b/control/repair.go
@@ -20,7 +20,12 @@
 		return
 	}
 	status := c.replica.core.Status()
-	if status.Role != raft.Leader || !status.MembershipStable {
+	if status.Role != raft.Leader {
+		c.learnerContacts = nil
+		return
+	}
+	c.noteLearners(now, status)
+	if !status.MembershipStable {
 		return
 	}
 	step, next := raft.NextMembership(status, c.replicaHealth(now, status.Membership))
@@ -38,7 +43,7 @@
 		lastSeen := c.start
 		if v != nil {
 			health.Replaced[r.Id] = v.ReplicaID != r.Id
-			health.Alive[r.Id] = v.Alive(now) && v.ReplicaID == r.Id
+			health.Alive[r.Id] = v.Alive(now) && v.ReplicaID == r.Id && !c.learnerSilent(now, r.Id)
 			lastSeen = v.LastSeen
 		}
 		health.Unreachable[r.Id] = now.Sub(lastSeen) > c.SpareAfter && now.Sub(c.start) > c.SpareAfter
--- a/control/replica.go
+++ b/control/replica.go
@@ -182,18 +182,23 @@
 		return
 	}
 	if r.lastRole == raft.Leader && status.Role != raft.Leader {
-		for id, waiters := range r.waiters {
-			for _, w := range waiters {
-				close(w)
-			}
-			delete(r.waiters, id)
-		}
+		r.closeWaiters()
 	}
 	r.lastRole, r.lastLeader = status.Role, status.Leader
 	c.viewStale = true
 	c.Log.Log(event.RoleChanged, "role", status.Role.String(), "term", status.Term, "leader", status.Leader)
 }
 
+// closeWaiters closes the channels of all waiting proposers.
+func (r *replica) closeWaiters() {
+	for id, waiters := range r.waiters {
+		for _, w := range waiters {
+			close(w)
+		}
+		delete(r.waiters, id)
+	}
+}
+
 // sendMessage queues a message to the VM of the receiving replica, and drops it if there is no peer for that VM.
 func (c *Control) sendMessage(m *raft.Message) {
 	name := c.vmForReplica(m.To)
