--- a/disk/folder.go
+++ b/disk/folder.go
@@ -30,6 +30,11 @@
 type Folder struct {
 	Path     string
 	Identity Identity
+	// Limit is called before each write with its size, and with 0 before each sync. It returns how many bytes to write,
+	// and the error to return after them. Tests set it to simulate a full disk; nil means no limit.
+	Limit func(bytes int) (int, error)
+
+	unstored bool // the identity could not be stored yet
 }
 
 // Open opens the data folder of a VM. It creates a missing folder and gives a new one a random replica id.
@@ -40,22 +45,28 @@
 // OpenWithReplicaID is like Open but gives a new folder the replica id replicaID. It fails if the folder belongs to
 // another VM.
 func OpenWithReplicaID(path, vm, replicaID string) (*Folder, error) {
-	if err := os.MkdirAll(path, 0o750); err != nil {
-		return nil, fmt.Errorf("cannot create the data folder: %w; set --data_dir to a writable folder", err)
-	}
 	f := &Folder{Path: path}
+	return f, f.Init(vm, replicaID)
+}
+
+// Init reads the identity of the folder at Path, or creates the folder. On a full disk the folder is created later, by
+// Recover. It fails if the folder belongs to another VM.
+func (f *Folder) Init(vm, replicaID string) error {
 	err := f.readJSON(identityFile, &f.Identity)
 	if errors.Is(err, fs.ErrNotExist) {
 		f.Identity = Identity{ReplicaID: replicaID, VM: vm}
-		err = f.writeJSON(identityFile, f.Identity)
+		f.unstored = true
+		if err = f.create(); errors.Is(err, ErrFull) {
+			err = nil
+		}
 	}
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if f.Identity.VM != vm {
-		return nil, fmt.Errorf("the data folder belongs to VM %q, not %q; set --data_dir to this VM's own folder", f.Identity.VM, vm)
+		return fmt.Errorf("the data folder belongs to VM %q, not %q; set --data_dir to this VM's own folder", f.Identity.VM, vm)
 	}
-	return f, nil
+	return nil
 }
 
 // Group returns the Raft group that this folder was prepared for or takes part in, or nil if there is none.
@@ -77,7 +88,7 @@
 		if err := os.Remove(filepath.Join(f.Path, groupFile)); err != nil && !errors.Is(err, fs.ErrNotExist) {
 			return err
 		}
-		return syncFolder(f.Path)
+		return f.syncEntries()
 	}
 	data, err := protojson.Marshal(m)
 	if err != nil {
@@ -116,28 +127,7 @@
 	return f.write(name, data)
 }
 
-// write writes and syncs a temporary file, renames it over the file, and syncs the folder.
 func (f *Folder) write(name string, data []byte) error {
-	path := filepath.Join(f.Path, name)
-	file, err := os.OpenFile(path+".new", os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o640)
-	if err != nil {
-		return err
-	}
-	_, err = file.Write(data)
-	err = errors.Join(err, file.Sync(), file.Close())
-	if err != nil {
-		return err
-	}
-	if err := os.Rename(path+".new", path); err != nil {
-		return err
-	}
-	return syncFolder(f.Path)
-}
-
-func syncFolder(path string) error {
-	d, err := os.Open(path)
-	if err != nil {
-		return err
-	}
-	return errors.Join(d.Sync(), d.Close())
+	_, err := f.replace(name, data)
+	return err
 }
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -144,7 +144,7 @@
 // Place has the owner of the service select an engine. It returns nil if the caller has to select by itself: the owner did
 // not respond in time, or knows no usable engine.
 func (b *Broker) Place(ctx context.Context, r *Request) *Placement {
-	owner := b.owner(r.Service)
+	owner := b.Owner(r.Service)
 	encoded := &link.PlacePromptRequest{Service: r.Service, Model: r.Model, Tried: r.Tried, DataCentre: r.DataCentre, InputBytes: r.InputBytes}
 	for _, p := range r.Parts {
 		encoded.Parts = append(encoded.Parts, &link.PromptPart{Id: p.ID, Tokens: int32(p.Tokens)})
@@ -195,8 +195,8 @@
 	return client.PlacePrompt(ctx, r)
 }
 
-// owner returns the VM that places a service's prompts, by rendezvous hashing over the VMs that are alive and not suspected.
-func (b *Broker) owner(service string) string {
+// Owner returns the VM that places a service's prompts, by rendezvous hashing over the VMs that are alive and not suspected.
+func (b *Broker) Owner(service string) string {
 	best, bestScore := b.VM, uint64(0)
 	key := rendezvous.Key("placement/" + service)
 	now := b.Clock.Now()
--- a/placement/broker_test.go
+++ b/placement/broker_test.go
@@ -119,11 +119,11 @@
 	b := v.brokers["vm-a"]
 	var asking *Broker
 	for _, candidate := range v.brokers {
-		if candidate.VM != b.owner("llm") {
+		if candidate.VM != b.Owner("llm") {
 			asking = candidate
 		}
 	}
-	owner := asking.owner("llm")
+	owner := asking.Owner("llm")
 	v.down[owner] = true
 	is.Equal(asking.Place(t.Context(), request("s")), nil)
 	is.Equal(v.calls, 1)
