raft: check in random runs that a current replica lacks nothing acknowledged

Cause: Current decides whether a VM passes its evacuations on as complete, and had no test of its own. Change: the simulation checks at each step that a replica that counts as current has every entry acknowledged before its leader was elected.

--- a/raft/core_test.go
+++ b/raft/core_test.go
@@ -157,9 +157,11 @@
 	is := is.New(t)
 	c := newFollower("b", testMembership())
 	is.True(c.CaughtUp())
+	is.True(!c.Current()) // no contact with a leader yet
 	page := []*Entry{{Index: 2, Term: 1}, {Index: 3, Term: 1}}
 	c.Step(&Message{Kind: MessageKind_APPEND, Group: simulatedGroup, From: "a", To: "b", Term: 1, Index: 1, LogTerm: 1, Entries: page, Commit: 4})
 	is.True(!c.CaughtUp())
 	c.Step(&Message{Kind: MessageKind_APPEND, Group: simulatedGroup, From: "a", To: "b", Term: 1, Index: 3, LogTerm: 1, Entries: []*Entry{{Index: 4, Term: 1}}, Commit: 4})
 	is.True(c.CaughtUp())
+	is.True(c.Current())
 }
--- a/raft/simulation_test.go
+++ b/raft/simulation_test.go
@@ -33,6 +33,8 @@
 	leaders           map[uint64]string // replica id of each leader, by term
 	applied           map[uint64]string // content of each entry that any node applied, by index
 	acked             map[uint64]string // content of each entry acknowledged to its proposer, by index
+	highestAcked      uint64
+	ackedBefore       map[uint64]uint64 // highest acknowledged index when the leader of a term was elected, by term
 	proposed          uint64
 	chaos             bool
 	stepsSinceContact map[[2]int]int // steps since a leader last had contact with a node, by leader and node
@@ -68,7 +70,7 @@
 func newSimulation(seed uint64, voters, spares int) *simulation {
 	s := &simulation{
 		random: rand.New(rand.NewPCG(seed, 7)), blocked: make(map[[2]int]bool), leaders: make(map[uint64]string),
-		applied: make(map[uint64]string), acked: make(map[uint64]string), stepsSinceContact: make(map[[2]int]int), chaos: true, disksPerLoss: 1,
+		applied: make(map[uint64]string), acked: make(map[uint64]string), ackedBefore: make(map[uint64]uint64), stepsSinceContact: make(map[[2]int]int), chaos: true, disksPerLoss: 1,
 	}
 	m := &Membership{Group: simulatedGroup}
 	for i := range voters {
@@ -111,6 +113,16 @@
 		n.apply(out)
 		n.checkLeader()
 	}
+	n.checkCurrent()
+}
+
+// checkCurrent guards against a replica that counts as current although it lacks entries that were acknowledged before its
+// leader was elected: it would pass on an older state as the newest one.
+func (n *node) checkCurrent() {
+	if n.core != nil && n.core.Current() {
+		acked := n.simulation.ackedBefore[n.core.term]
+		assert(n.core.commit >= acked, "%s is current at %d in term %d, but %d was acknowledged before that term", n.vm, n.core.commit, n.core.term, acked)
+	}
 }
 
 func (n *node) store(out Output) {
@@ -143,6 +155,7 @@
 			n.commands = append(n.commands, binary.BigEndian.Uint64(e.Data))
 			if n.core.role == Leader && e.Term == n.core.term {
 				n.simulation.acked[e.Index] = content
+				n.simulation.highestAcked = max(n.simulation.highestAcked, e.Index)
 			}
 		}
 	}
@@ -159,6 +172,9 @@
 	}
 	old, ok := n.simulation.leaders[n.core.term]
 	assert(!ok || old == n.core.ID, "%s and %s are both leaders in term %d", old, n.core.ID, n.core.term)
+	if !ok {
+		n.simulation.ackedBefore[n.core.term] = n.simulation.highestAcked
+	}
 	n.simulation.leaders[n.core.term] = n.core.ID
 }
 
