gateway, piece: refuse at once what only evacuated endpoints could serve

Cause: a stage whose endpoints are all evacuated kept its requests waiting until their deadline, and the earlier stages ran for nothing. Change: the gateway refuses such a request as not run before its first stage; the dispatcher refuses the jobs that have not started.

--- a/control/evacuation.go
+++ b/control/evacuation.go
@@ -188,3 +188,8 @@
 	awaitsReply := c.Folder != nil && len(c.Join) > 0 && !e.legacy
 	return e.current || (!e.expected && c.replica == nil && !awaitsReply)
 }
+
+// OnlyEvacuated reports whether a pool has endpoints that would be routable, but all of them in evacuated data centres.
+func (v *View) OnlyEvacuated(pool string) bool {
+	return len(v.Pools[pool]) == 0 && len(v.Evacuated[pool]) > 0
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -193,6 +193,9 @@
 	if g.endsAfterStop(x) {
 		return stoppingFault(x)
 	}
+	if err := g.evacuationFault(x); err != nil {
+		return err
+	}
 	if err := g.runStagesBeforeStop(ctx, x); err != nil {
 		return err
 	}
--- a/piece/dispatch.go
+++ b/piece/dispatch.go
@@ -28,6 +28,9 @@
 	now := d.Clock.Now()
 	for name, q := range d.queues {
 		q.expire(now)
+		if q.units > 0 && d.onlyEvacuated(name) {
+			q.refuseEvacuated(name)
+		}
 		q.sort(now)
 		d.dispatch(name, q)
 		q.refusePassedOver(now)
--- a/piece/evacuation_test.go
+++ b/piece/evacuation_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 
+	"godwitplank"
+	"godwitplank/fault"
 	"godwitplank/route"
 )
 
@@ -25,7 +27,7 @@
 	return s.services.Endpoints(name)
 }
 
-// The results that an evacuated endpoint holds are freed, although it gets no new calls: they would occupy its memory until
+// The results that an evacuated endpoint holds are freed, although it gets no new calls and new jobs are refused: they would occupy its memory until
 // they expire, while endpoints of other data centres still fetch others there.
 func TestFreeAtEvacuatedEndpoint(t *testing.T) {
 	is := is.New(t)
@@ -42,9 +44,10 @@
 	d.Free("s", handles)
 	eventually(t, "the results are freed", func() bool { return e.heldCount() == 0 })
 
-	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
-	_, err = d.Run(ctx, newJob("r-2", 1))
-	is.True(err != nil)
+	_, err = d.Run(ctx, newJob("r-2", 1)) // refused before the end of ctx
+	is.Equal(fault.As(err).Outcome, godwitplank.NotRun)
+	is.NoErr(ctx.Err())
 	is.Equal(e.heldCount(), 0) // no new call
 }
