--- a/cli/where.go
+++ b/cli/where.go
@@ -79,7 +79,7 @@
 	}
 	fmt.Fprintf(w, "route %s, workspace %s, priority %d, document version %d, deadline %d ms, objective %d ms\n",
 		orDash(e.Route), orDash(e.Workspace), e.Priority, e.DocumentVersion, e.DeadlineMS, e.ObjectiveMS)
-	fmt.Fprintf(w, "predicted: stages %d ms, run at most %d ms\n", e.StagesMS, e.RunAtMostMS)
+	fmt.Fprintf(w, "predicted: first byte after %d ms, run at most %d ms (0: unknown)\n", e.FirstByteMS, e.RunAtMostMS)
 	for _, s := range e.Stages {
 		fmt.Fprintf(w, "\nstage %d, service %s, %d pieces, predicted %d ms, delay %d ms, dispatched by %s", s.Stage, s.Service, s.Pieces, s.PredictedMS, s.DelayMS, s.DispatcherVM)
 		if !s.Known {
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -70,9 +70,9 @@
 	Kind         fault.Kind `json:"kind,omitempty"`
 	Status       int        `json:"status,omitempty"`
 	RetryAfterMS int64      `json:"retry_after_ms,omitempty"`
-	// StagesMS is the predicted time of the stages. RunAtMostMS is how long the run at an endpoint takes at most as this VM has
+	// FirstByteMS is the predicted time until the first byte of the response, 0 for a request without stages. RunAtMostMS is how long the run at an endpoint takes at most as this VM has
 	// learnt, 0 if it does not know.
-	StagesMS    int64              `json:"stages_ms,omitempty"`
+	FirstByteMS int64              `json:"first_byte_ms,omitempty"`
 	RunAtMostMS int64              `json:"run_at_most_ms,omitempty"`
 	Stages      []ExplainedStage   `json:"stages,omitempty"`
 	Services    []ExplainedService `json:"services,omitempty"`
@@ -172,7 +172,7 @@
 	x.setTimes()
 	out.Workspace, out.Priority = x.workspace, x.priority
 	out.DeadlineMS, out.ObjectiveMS = x.deadline.Sub(x.received).Milliseconds(), x.due.Sub(x.received).Milliseconds()
-	out.StagesMS = g.expectedStages(x).Milliseconds()
+	out.FirstByteMS = g.expectedStages(x).Milliseconds()
 	if run, ok := g.runs.estimate(x.route.Name); ok {
 		out.RunAtMostMS = run.Milliseconds()
 	}
@@ -190,7 +190,11 @@
 		return out.refuse(stoppingFault(x))
 	}
 	if refusal != nil {
-		return out.refuse(refusal)
+		out.refuse(refusal)
+		if len(out.Stages) > 0 {
+			out.Reason = "once its stages have run: " + out.Reason
+		}
+		return out
 	}
 	out.decide()
 	return out
