--- a/control/control.go
+++ b/control/control.go
@@ -51,7 +51,9 @@
 	OperatorsAddr netip.AddrPort
 	CallersAddr   netip.AddrPort
 	// DataCentres names the deployment's data centres, which may be evacuated; empty accepts any valid name.
-	DataCentres []string
+	// EvacuationsOptional lets this VM route requests after its start before it has received the evacuations.
+	EvacuationsOptional bool
+	DataCentres         []string
 	// Join lists the link addresses of other VMs. This VM's own address is skipped.
 	Join []netip.AddrPort
 	// Discover also connects to VMs that are known only through other VMs.
--- a/control/evacuation.go
+++ b/control/evacuation.go
@@ -182,8 +182,12 @@
 }
 
 // evacuationsKnown reports whether this VM may route requests: it has received the evacuations since its start, or no VM
-// of its deployment can have any: there is no data folder, or all VMs that replied are of a build without evacuations.
+// of its deployment can have any: there is no data folder, or all VMs that replied are of a build without evacuations. A
+// deployment that evacuates no data centres does not wait for them.
 func (c *Control) evacuationsKnown() bool {
+	if c.EvacuationsOptional {
+		return true
+	}
 	e := &c.evacuations
 	awaitsReply := c.Folder != nil && len(c.Join) > 0 && !e.legacy
 	return e.current || (!e.expected && c.replica == nil && !awaitsReply)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -142,7 +142,7 @@
 	}
 	d.control = &control.Control{
 		Limiter: limiter, Tally: tally, Meter: meter,
-		Name: s.VM, DataCentre: s.DataCentre, DataCentres: s.DataCentres, Incarnation: incarnation,
+		Name: s.VM, DataCentre: s.DataCentre, DataCentres: s.DataCentres, EvacuationsOptional: s.EvacuateWithin == 0, Incarnation: incarnation,
 		LinkAddr: bound.LinkAddr, OperatorsAddr: bound.OperatorsAddr, CallersAddr: bound.CallersAddr,
 		Join: s.Join, Discover: s.Discover, HubsOnly: s.HubsOnly, Capacity: s.Capacity, ColdExcess: s.Cold.Excess, ColdSlack: s.Cold.Slack, Bootstrap: s.Bootstrap, SpareAfter: s.SpareAfter, DiskLosses: s.DiskLosses, Clock: timer.System, Log: d.log,
 	}
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -25,11 +25,13 @@
 	VM         string
 	DataCentre string
 	// DataCentres names the data centres of the deployment; empty if they are not known.
-	DataCentres   []string
-	CallersAddr   netip.AddrPort
-	OperatorsAddr netip.AddrPort
-	LinkAddr      netip.AddrPort
-	Join          []netip.AddrPort
+	DataCentres []string
+	// EvacuateWithin is the time in which an evacuation has to take effect; 0 if the deployment evacuates no data centres.
+	EvacuateWithin time.Duration
+	CallersAddr    netip.AddrPort
+	OperatorsAddr  netip.AddrPort
+	LinkAddr       netip.AddrPort
+	Join           []netip.AddrPort
 	// Discover also connects to VMs outside Join that other VMs report.
 	Discover bool
 	// Capacity is the VM's CPU capacity in cores, 0 if unknown.
@@ -97,6 +99,7 @@
 var flags = []flag{
 	{"vm", "", "name of this VM, unique among all VMs", func(s *Settings, v string) error { return setName(&s.VM, v) }},
 	{"data_centre", "", "name of this VM's data centre", func(s *Settings, v string) error { return setName(&s.DataCentre, v) }},
+	{"evacuate_within_ms", "5000", "time in milliseconds in which an evacuation has to take effect; 0 or empty if the deployment evacuates no data centres: a VM that starts does not wait for the evacuations then", setEvacuateWithin},
 	{"data_centres", "", "names of the deployment's data centres, separated by commas, or a mapping with these keys in the settings file; only these may be evacuated; empty to accept any", setDataCentres},
 	{"callers_addr", "127.0.0.1:0", "ip:port for callers and endpoints; empty to serve none", func(s *Settings, v string) error { return setOptionalAddr(&s.CallersAddr, v) }},
 	{"operators_addr", "127.0.0.1:0", "ip:port for operators", func(s *Settings, v string) error { return setAddr(&s.OperatorsAddr, v) }},
@@ -232,6 +235,15 @@
 	return nil
 }
 
+func setEvacuateWithin(s *Settings, value string) error {
+	ms := 0.0
+	if err := setOptionalNumber(&ms, value, 0); err != nil {
+		return err
+	}
+	s.EvacuateWithin = time.Duration(min(ms, maxDuration.Seconds()*1000) * float64(time.Millisecond))
+	return nil
+}
+
 // setDataCentres skips invalid names with a warning: the platform gives the value, and a VM that does not start serves
 // nothing.
 func setDataCentres(s *Settings, value string) error {
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/spf13/pflag"
@@ -161,13 +162,17 @@
 	}
 }
 
-// A deployment without cold endpoints renders empty values; its VMs must start with the defaults.
-func TestEmptyColdSettings(t *testing.T) {
+// A deployment without cold endpoints and evacuations renders empty values; its VMs must start, and not wait for evacuations.
+func TestEmptyBounds(t *testing.T) {
 	is := is.New(t)
 	file := filepath.Join(t.TempDir(), "settings.yaml")
-	is.NoErr(os.WriteFile(file, []byte("vm: a\ndata_centre: d\ncold_excess: \"\"\ncold_slack: \"\"\n"), 0o600))
+	is.NoErr(os.WriteFile(file, []byte("vm: a\ndata_centre: d\ncold_excess: \"\"\ncold_slack: \"\"\nevacuate_within_ms: \"\"\n"), 0o600))
 	s, err := read(t, "--settings_file", file)
 	is.NoErr(err)
 	is.Equal(s.Cold.Excess, 1.0)
 	is.Equal(s.Cold.Slack, 0.0)
+	is.Equal(s.EvacuateWithin, time.Duration(0))
+	s, err = read(t, "--vm", "a", "--data_centre", "d")
+	is.NoErr(err)
+	is.Equal(s.EvacuateWithin, 5*time.Second)
 }
