control: don't read the reply of an exchange that was given up

Cause: the closure may still run after do has returned an error, so the handler's read of the reply raced with its write (seen by the race detector in a trial with three VMs and full disks).

--- a/control/server.go
+++ b/control/server.go
@@ -22,8 +22,10 @@
 		return nil, status.Error(codes.InvalidArgument, "the sender is missing; send the VM's own description")
 	}
 	var reply *link.ExchangeReply
-	err := c.do(ctx, func() { reply = c.buildExchangeReply(r) })
-	return reply, err
+	if err := c.do(ctx, func() { reply = c.buildExchangeReply(r) }); err != nil {
+		return nil, err // the call may still set reply
+	}
+	return reply, nil
 }
 
 // buildExchangeReply merges the sender's state and returns what changed since the revisions in the request. A sender
