--- a/control/cold.go
+++ b/control/cold.go
@@ -4,15 +4,18 @@
 	"time"
 
 	"godwitplank/cold"
+	"godwitplank/document"
 	"godwitplank/endpoint"
 	"godwitplank/event"
+	"godwitplank/rendezvous"
 	"godwitplank/route"
 )
 
-// coldShare is this VM's share of the calls to a cold endpoint, for the members and the rate that it was derived from.
+// coldShare is this VM's share of the calls to a cold endpoint, and what it was derived from.
 type coldShare struct {
 	membersSince time.Time
 	rate         int
+	ofStage      bool
 	share        int
 }
 
@@ -44,37 +47,39 @@
 
 // coldUntil returns the end of an endpoint's cold time, zero if its service has no limit for cold endpoints. The endpoints of a data
 // centre had no requests while it was evacuated, so they are cold after that, whatever they stated.
-func (c *Control) coldUntil(e *endpoint.Entry) (until time.Time, limit cold.Limit) {
-	if !e.OfService || c.document == nil {
-		return time.Time{}, limit
+func (c *Control) coldUntil(e *endpoint.Entry, s *document.Service) time.Time {
+	if !e.OfService || s == nil || s.ColdRequestsPerSecond <= 0 {
+		return time.Time{}
 	}
-	s := c.document.Service(e.Pool)
-	if s == nil || s.ColdRequestsPerSecond <= 0 {
-		return time.Time{}, limit
-	}
-	until = e.ColdUntil
+	until := e.ColdUntil
 	if ended := c.evacuationEndedAt(e.DataCentre); !ended.IsZero() && ended.Add(s.ColdStart()).After(until) {
 		until = ended.Add(s.ColdStart())
 	}
-	return until, cold.Limit{PerSecond: s.ColdRequestsPerSecond, Excess: c.ColdExcess, Slack: c.ColdSlack}
+	return until
 }
 
 // updateCold sets this VM's share of the calls to an endpoint while that is cold, and logs the begin and the end of that time.
 func (c *Control) updateCold(v *View, e *endpoint.Entry, stats *route.Stats) {
-	terms := cold.Terms{MembersSince: c.entryVMs.since}
-	var limit cold.Limit
-	terms.Until, limit = c.coldUntil(e)
+	if c.document == nil {
+		return
+	}
+	s := c.document.Service(e.Pool)
+	terms := cold.Terms{Until: c.coldUntil(e, s), MembersSince: c.entryVMs.since}
 	k := statsKey{e.EndpointID, e.Incarnation}
 	isCold := v.PublishedAt.Before(terms.Until)
+	rate := 0
+	if isCold {
+		rate = cold.Limit{PerSecond: s.ColdRequestsPerSecond, Excess: c.ColdExcess, Slack: c.ColdSlack}.Rate()
+	}
 	if isCold && c.wasReady {
-		terms.Share = c.coldShareOf(k, limit.Rate(), v.EntryVMs)
+		terms.Share = c.coldShareOf(k, s, rate)
 	}
 	if !stats.UpdateCold(v.PublishedAt, terms) {
 		return
 	}
 	if isCold {
 		c.Log.Log(event.EndpointCold, "endpoint", e.EndpointID, "incarnation", e.Incarnation, "pool", e.Pool,
-			"left_ms", terms.Until.Sub(v.PublishedAt).Milliseconds(), "rate", limit.Rate(), "share", terms.Share)
+			"left_ms", terms.Until.Sub(v.PublishedAt).Milliseconds(), "rate", rate, "share", terms.Share)
 		return
 	}
 	delete(c.coldShares, k)
@@ -82,15 +87,26 @@
 }
 
 // coldShareOf returns this VM's share of the calls to a cold endpoint. It is kept until the members change, since a view with many
-// cold endpoints would otherwise hash each with all members.
-func (c *Control) coldShareOf(k statsKey, rate int, members []string) int {
-	s, ok := c.coldShares[k]
-	if !ok || s.rate != rate || !s.membersSince.Equal(c.entryVMs.since) {
-		s = coldShare{membersSince: c.entryVMs.since, rate: rate, share: cold.Share(rate, cold.Endpoint{ID: k.id, Incarnation: k.incarnation}, members, c.Name)}
-		if c.coldShares == nil {
-			c.coldShares = make(map[statsKey]coldShare)
+// cold endpoints would otherwise hash each with all members. The calls of a stage all come from the VM that dispatches its service,
+// so that VM has the whole rate: another one would not use its share.
+func (c *Control) coldShareOf(k statsKey, service *document.Service, rate int) int {
+	now := coldShare{membersSince: c.entryVMs.since, rate: rate, ofStage: service.Batch != nil}
+	known, ok := c.coldShares[k]
+	now.share = known.share
+	if ok && known == now {
+		return known.share
+	}
+	members := c.entryVMs.names
+	if now.ofStage {
+		members = nil
+		if owner := rendezvous.First(rendezvous.Key(service.Name), c.entryVMs.dispatchers); owner != "" {
+			members = []string{owner}
 		}
-		c.coldShares[k] = s
 	}
-	return s.share
+	now.share = cold.Share(rate, cold.Endpoint{ID: k.id, Incarnation: k.incarnation}, members, c.Name)
+	if c.coldShares == nil {
+		c.coldShares = make(map[statsKey]coldShare)
+	}
+	c.coldShares[k] = now
+	return now.share
 }
--- a/control/view.go
+++ b/control/view.go
@@ -154,7 +154,7 @@
 // a revision of the VM table.
 type entryVMs struct {
 	names, dispatchers []string
-	// since is when names last changed.
+	// since is when names or dispatchers last changed.
 	since    time.Time
 	revision uint64
 	stopping bool // whether this VM was stopping
@@ -182,14 +182,14 @@
 		largest = max(largest, capacity)
 	}
 	slices.Sort(l.names)
-	if previous.names != nil && slices.Equal(l.names, previous.names) {
-		l.since = previous.since
-	}
 	for _, name := range l.names {
 		if capacities[name] >= dispatcherCapacityRatio*largest {
 			l.dispatchers = append(l.dispatchers, name)
 		}
 	}
+	if previous.names != nil && slices.Equal(l.names, previous.names) && slices.Equal(l.dispatchers, previous.dispatchers) {
+		l.since = previous.since
+	}
 }
 
 // plannedStopBegin returns when an endpoint or a VM must stop accepting new work before its planned stop, so that
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -14,6 +14,7 @@
 		{Name: "godwitplank_document_age_seconds", Description: "Time since the document was put in force here.", Read: d.readAge},
 		{Name: "godwitplank_endpoints", Description: "Endpoints by pool and state.", Read: d.readEndpoints},
 		{Name: "godwitplank_endpoints_quiet", Description: "Endpoints that asked this VM for no calls for a time that is not over.", Read: d.readQuiet},
+		{Name: "godwitplank_endpoints_cold", Description: "Endpoints of services that have just started and get few requests.", Read: d.readCold},
 		{Name: "godwitplank_endpoints_leaving", Description: "Endpoints that told this VM in a response that they leave, and whose announcements do not say so.", Read: d.readLeaving},
 		{Name: "godwitplank_prompt_quarantines", Description: "Sets of prompt parts that are kept from endpoints.", Read: d.readQuarantines},
 		{Name: "godwitplank_vms_alive", Description: "VMs that are alive as this one knows, itself among them.", Read: d.readVMs},
@@ -113,6 +114,11 @@
 	return d.countCandidates(func(s *route.Stats) bool { return now.Before(s.QuietUntil()) })
 }
 
+func (d *Daemon) readCold() []telemetry.Reading {
+	now := timer.System.Now()
+	return d.countCandidates(func(s *route.Stats) bool { return s.Schedule.Cold(now) })
+}
+
 func (d *Daemon) readLeaving() []telemetry.Reading {
 	return d.countCandidates((*route.Stats).Leaving)
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -230,20 +230,10 @@
 	candidates := g.Views.View().Pools[x.service.Name]
 	q := route.Query{Now: g.Clock.Now(), DataCentre: g.DataCentre, Model: x.Model, Tried: x.tried, InputBytes: x.inputBytes, Reach: g.Reach}
 	a := &attempt{started: q.Now}
-	chosen := -1
-	for permitted := false; !permitted; {
-		if x.service.Engine != nil {
-			chosen, a.uncachedTokens = g.Prefixes.Choose(q, candidates, x.Prefix)
-		} else {
-			chosen = g.Policy.Choose(q, candidates)
-		}
-		if chosen < 0 {
-			return nil, noCandidate(q, candidates)
-		}
-		// Another request may have taken the permit of a cold endpoint since it was chosen. It is not chosen again then.
-		permitted = candidates[chosen].TakePermit(q.Now)
+	var ok bool
+	if a.candidate, a.uncachedTokens, ok = g.chooseCandidate(x, q, candidates); !ok {
+		return nil, noCandidate(q, candidates)
 	}
-	a.candidate = &candidates[chosen]
 	x.tried = append(x.tried, a.candidate.ID)
 	g.Log.Log(event.RequestSent, "request_id", x.ID, "endpoint", a.candidate.ID, "addr", a.candidate.Addr.String(), "attempt", x.attempts+1,
 		"cause", x.cause(), "candidates", len(candidates), "in_flight", a.candidate.Stats.InFlight(), "cached_tokens", route.Tokens(x.Prefix)-a.uncachedTokens,
@@ -256,6 +246,26 @@
 	return a, nil
 }
 
+// chooseCandidate selects an endpoint and takes the permit for a call if that is cold. It returns false if there is none.
+func (g *Gateway) chooseCandidate(x *exchange, q route.Query, candidates []route.Candidate) (c *route.Candidate, uncachedTokens int, ok bool) {
+	for range candidates {
+		var chosen int
+		if x.service.Engine != nil {
+			chosen, uncachedTokens = g.Prefixes.Choose(q, candidates, x.Prefix)
+		} else {
+			chosen = g.Policy.Choose(q, candidates)
+		}
+		if chosen < 0 {
+			break
+		}
+		if candidates[chosen].TakePermit(q.Now) {
+			return &candidates[chosen], uncachedTokens, true
+		}
+		// Another request has taken the permit since the choice. Without one the endpoint is not chosen again.
+	}
+	return nil, 0, false
+}
+
 // call sends the request over a connection to the chosen endpoint and forwards the response.
 func (g *Gateway) call(ctx context.Context, x *exchange, a *attempt) outcome {
 	c := a.candidate
--- a/rendezvous/rendezvous.go
+++ b/rendezvous/rendezvous.go
@@ -12,6 +12,17 @@
 	return h.Sum64()
 }
 
+// First returns the member with the highest weight for a key, empty if there are no members.
+func First(key uint64, members []string) string {
+	best, bestWeight := "", uint64(0)
+	for _, m := range members {
+		if weight := Weight(key, m); best == "" || weight > bestWeight {
+			best, bestWeight = m, weight
+		}
+	}
+	return best
+}
+
 // Weight returns the weight of a member for a key. It is 0 for only one key in 2^64.
 func Weight(key uint64, member string) uint64 {
 	// The high bits of FNV differ little between short names with the same ending, so all bits are mixed.
