route, piece: load reports in the responses of endpoints

A report of running and waiting requests, slots and the speed of the machine is kept per incarnation and counts with a weight that halves every 200 ms. The predicted policy takes the requests of others and the speed from it, the dispatcher the speed.

Also, a call with pieces reads the slowdown of its endpoint under the dispatcher's mutex.

--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -1,11 +1,16 @@
 package daemon
 
 import (
+	"time"
+
 	"godwitplank/route"
 	"godwitplank/telemetry"
 	"godwitplank/timer"
 )
 
+// reportingPeriod is how long an endpoint counts as one that reports its load.
+const reportingPeriod = 10 * time.Second
+
 // gauges returns the gauges of the VM's current state.
 func (d *Daemon) gauges() []telemetry.Gauge {
 	return []telemetry.Gauge{
@@ -15,6 +20,7 @@
 		{Name: "godwitplank_endpoints", Description: "Endpoints by pool and state.", Read: d.readEndpoints},
 		{Name: "godwitplank_endpoints_quiet", Description: "Endpoints that asked this VM for no calls for a time that is not over.", Read: d.readQuiet},
 		{Name: "godwitplank_endpoints_cold", Description: "Endpoints of services that have just started and get few requests.", Read: d.readCold},
+		{Name: "godwitplank_endpoints_reporting_load", Description: "Endpoints whose responses to this VM stated their load in the last ten seconds.", Read: d.readReporting},
 		{Name: "godwitplank_endpoints_leaving", Description: "Endpoints that told this VM in a response that they leave, and whose announcements do not say so.", Read: d.readLeaving},
 		{Name: "godwitplank_prompt_quarantines", Description: "Sets of prompt parts that are kept from endpoints.", Read: d.readQuarantines},
 		{Name: "godwitplank_vms_alive", Description: "VMs that are alive as this one knows, itself among them.", Read: d.readVMs},
@@ -119,6 +125,11 @@
 	return d.countCandidates(func(s *route.Stats) bool { return s.Schedule.Cold(now) })
 }
 
+func (d *Daemon) readReporting() []telemetry.Reading {
+	since := timer.System.Now().Add(-reportingPeriod)
+	return d.countCandidates(func(s *route.Stats) bool { return s.ReportedAt().After(since) })
+}
+
 func (d *Daemon) readLeaving() []telemetry.Reading {
 	return d.countCandidates((*route.Stats).Leaving)
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -242,7 +242,7 @@
 	if !x.firstByteAt.IsZero() {
 		g.Log.Log(event.StreamResumed, "request_id", x.ID, "endpoint", a.candidate.ID, "last_event", x.LastEventID, "passed_ms", q.Now.Sub(x.firstByteAt).Milliseconds())
 	}
-	a.slowdown = a.candidate.Begin()
+	a.slowdown = a.candidate.BeginAt(q.Now)
 	return a, nil
 }
 
--- a/piece/call.go
+++ b/piece/call.go
@@ -18,7 +18,11 @@
 func (d *Dispatcher) call(s *document.Service, c *route.Candidate, state *endpointState, units []*unit) {
 	started := d.Clock.Now()
 	predicted := PredictCallTime(s, len(units))
-	timeout := time.Duration(float64(predicted)*state.slowdown)*callTimeoutFactor + callTimeoutMargin
+	// A machine that reports to be fast may be slow again during the call, so that does not shorten the timeout.
+	d.mu.Lock()
+	slowdown := max(state.slowdown, expectedSlowdown(started, c, state))
+	d.mu.Unlock()
+	timeout := time.Duration(float64(predicted)*slowdown)*callTimeoutFactor + callTimeoutMargin
 	ctx, cancel := context.WithTimeout(d.calls, timeout)
 	defer cancel()
 	items := make([]Item, len(units))
@@ -37,7 +41,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	state.inFlight--
-	d.updateEndpoint(state, response, err, elapsed, predicted)
+	d.updateEndpoint(c, state, response, err, elapsed, predicted)
 	if err == nil && !response.NotRun && c.Stats.EndQuiet(d.Clock.Now()) {
 		d.Log.Log(event.EndpointQuietEnded, "endpoint", c.ID, "incarnation", c.Incarnation)
 	}
@@ -177,7 +181,7 @@
 }
 
 // updateEndpoint updates the backoff and the slowdown of an endpoint after a call.
-func (d *Dispatcher) updateEndpoint(state *endpointState, response Response, err error, elapsed, predicted time.Duration) {
+func (d *Dispatcher) updateEndpoint(c *route.Candidate, state *endpointState, response Response, err error, elapsed, predicted time.Duration) {
 	now := d.Clock.Now()
 	switch {
 	case err != nil && !errors.Is(err, connection.ErrConnectionLimit) && !errors.Is(err, errPermitExpired):
@@ -188,7 +192,10 @@
 		state.backoffUntil = now.Add(fullBackoff)
 	default:
 		state.failures = 0
-		state.slowdown += slowdownWeight * (float64(elapsed)/float64(predicted) - state.slowdown)
+		slowdown := float64(elapsed) / float64(predicted)
+		state.slowdown += slowdownWeight * (slowdown - state.slowdown)
+		machine, weight := c.Stats.ReportedSlowdown(now)
+		state.baseSlowdown += slowdownWeight * (slowdown/(1+weight*(machine-1)) - state.baseSlowdown)
 		if countOutcome(response, NoMemory) > 0 {
 			state.backoffUntil = now.Add(fullBackoff)
 		}
--- a/piece/dispatch.go
+++ b/piece/dispatch.go
@@ -115,16 +115,27 @@
 			out = append(out, c)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b *route.Candidate) int { return cmp.Compare(d.cost(a), d.cost(b)) })
+	slices.SortStableFunc(out, func(a, b *route.Candidate) int { return cmp.Compare(d.cost(now, a), d.cost(now, b)) })
 	return out, servedDCs
 }
 
-// cost returns the learned slowdown of an endpoint, raised if it no longer announces itself.
-func (d *Dispatcher) cost(c *route.Candidate) float64 {
+// cost returns the expected slowdown of an endpoint, raised if it no longer announces itself.
+func (d *Dispatcher) cost(now time.Time, c *route.Candidate) float64 {
+	slowdown := expectedSlowdown(now, c, d.endpoint(endpointKey(c)))
 	if !c.Confirmed {
-		return d.endpoint(endpointKey(c)).slowdown * unconfirmedFactor
+		return slowdown * unconfirmedFactor
 	}
-	return d.endpoint(endpointKey(c)).slowdown
+	return slowdown
+}
+
+// expectedSlowdown returns the learned slowdown of an endpoint, or that on a machine as usual times what its machine reported, the
+// less of the latter the older the report is.
+func expectedSlowdown(now time.Time, c *route.Candidate, state *endpointState) float64 {
+	machine, weight := c.Stats.ReportedSlowdown(now)
+	if weight == 0 {
+		return state.slowdown
+	}
+	return state.slowdown + weight*(machine*state.baseSlowdown-state.slowdown)
 }
 
 func endpointKey(c *route.Candidate) connection.Key {
@@ -135,7 +146,7 @@
 func (d *Dispatcher) endpoint(k connection.Key) *endpointState {
 	e := d.endpoints[k]
 	if e == nil {
-		e = &endpointState{slowdown: 1}
+		e = &endpointState{slowdown: 1, baseSlowdown: 1}
 		d.endpoints[k] = e
 	}
 	return e
--- a/piece/dispatcher.go
+++ b/piece/dispatcher.go
@@ -85,7 +85,9 @@
 	inFlight int
 	failures int
 	// slowdown is the EWMA of the time of calls relative to their configured time.
-	slowdown     float64
+	slowdown float64
+	// baseSlowdown is as slowdown, without the slowdown that the endpoint's machine reported for each call.
+	baseSlowdown float64
 	backoffUntil time.Time
 	// lastCall is when the last call was sent.
 	lastCall time.Time
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -44,6 +44,7 @@
 	leaving             atomic.Bool  // the endpoint said that it leaves
 	quietUntil          atomic.Int64 // Unix nanoseconds; 0 if the endpoint asked for no quiet or a call has succeeded since
 	completed           atomic.Int64 // calls that succeeded since the endpoint was last cold
+	report              atomic.Pointer[receivedReport]
 
 	// Schedule holds when this VM may send calls while the endpoint is cold.
 	Schedule cold.Schedule
@@ -60,20 +61,35 @@
 // latencyDivisor is the inverse of the weight of a new sample in the latency EWMA.
 const latencyDivisor = 5
 
-// Begin counts a call as in flight. It returns the call's expected slowdown, to be passed to Succeed.
+// Begin counts a call as in flight. It returns the call's expected slowdown without the endpoint's load report, to be passed to
+// Succeed.
 func (c *Candidate) Begin() (slowdown float64) {
-	slowdown = c.slowdown()
+	return c.BeginAt(time.Time{})
+}
+
+// BeginAt is Begin with the load report of the endpoint, weighted by its age.
+func (c *Candidate) BeginAt(now time.Time) (slowdown float64) {
+	slowdown = c.slowdown(now)
 	c.Stats.inFlight.Add(1)
 	return slowdown
 }
 
-// slowdown returns the expected latency of one more call relative to an idle endpoint, at least 1. The load is this
-// VM's calls in flight plus those of other VMs: the last reported number, or as many per VM as this one has if that is
-// more, since reports lag behind a burst.
-func (c *Candidate) slowdown() float64 {
+// slowdown returns the expected latency of one more call relative to an idle endpoint on a machine as usual, at least 1 on such a
+// machine. The load is this VM's calls in flight plus those of other VMs: the last announced number, or as many per VM as this one
+// has if that is more, since announcements lag behind a burst. A load report counts in its place, the less the older it is.
+func (c *Candidate) slowdown(now time.Time) float64 {
 	inFlight := c.Stats.inFlight.Load()
-	concurrent := max(inFlight+c.Stats.remoteLoad.Load(), inFlight*int64(max(c.SendingVMs, 1))) + 1
-	return max(1, float64(concurrent)/float64(max(c.Slots, 1)))
+	others := float64(max(c.Stats.remoteLoad.Load(), inFlight*int64(max(c.SendingVMs, 1)-1)))
+	slots := c.Slots
+	report, weight := c.Stats.reported(now)
+	if weight > 0 {
+		others += weight * (float64(report.others) - others)
+		if slots == 0 {
+			slots = report.slots
+		}
+	}
+	machine, weight := c.Stats.ReportedSlowdown(now)
+	return max(1, (float64(inFlight)+others+1)/float64(max(slots, 1))) * (1 + weight*(machine-1))
 }
 
 // Succeed records a completed call: it ends an ejection and adds latency divided by slowdown to the latency EWMA, where
--- a/route/notice.go
+++ b/route/notice.go
@@ -13,6 +13,8 @@
 	Leaving bool
 	// RetryAfter is how long the endpoint wants no call from this VM, 0 if it does not say.
 	RetryAfter time.Duration
+	// Load is the endpoint's load, nil if it does not say.
+	Load *LoadReport
 	// Ignored says what was wrong with a notice that could not be decoded, empty if nothing was.
 	Ignored string
 }
@@ -31,6 +33,9 @@
 	if n.Ignored != "" {
 		log.Log(event.EndpointNoticeIgnored, "endpoint", c.ID, "source", source, "reason", n.Ignored)
 	}
+	if n.Load != nil {
+		c.Stats.ObserveLoad(now, *n.Load)
+	}
 	if n.Leaving && c.Stats.Leave() {
 		log.Log(event.EndpointLeaves, "endpoint", c.ID, "incarnation", c.Incarnation, "source", source, "request_id", requestID)
 	}
--- a/route/policy.go
+++ b/route/policy.go
@@ -119,7 +119,7 @@
 const sampleSize = 3
 
 // predicted chooses the lowest predicted latency among sampleSize random candidates: the latency EWMA times the
-// slowdown by calls in flight and reported load. Ejected endpoints, those in unreachable data centres, and those that were cold and
+// slowdown by calls in flight and by load reports. Ejected endpoints, those in unreachable data centres, and those that were cold and
 // have no more calls yet are used only if no other candidate is usable.
 func predicted(q Query, candidates []Candidate) int {
 	now := q.Now.UnixNano()
@@ -155,7 +155,7 @@
 
 // predictedTime returns the predicted latency of a call to a candidate, in nanoseconds.
 func predictedTime(q *Query, c *Candidate) float64 {
-	score := float64(max(c.Stats.Latency(), minLatency)) * c.slowdown()
+	score := float64(max(c.Stats.Latency(), minLatency)) * c.slowdown(q.Now)
 	if c.DataCentre != q.DataCentre {
 		score = score*remoteDCFactor + float64(remoteDCDelay)
 	}
