--- a/control/cold_test.go
+++ b/control/cold_test.go
@@ -198,3 +198,36 @@
 	is.NoErr(json.Unmarshal(reply.Endpoints[0].Announcement, &a))
 	is.Equal(*a.ColdMS, int64(1000))
 }
+
+// BenchmarkPublishCold measures publishing a view of 420 VMs with 135 cold endpoints among 1,900, as after the evacuation of a data
+// centre, with members that change for each view and with the same ones.
+func BenchmarkPublishCold(b *testing.B) {
+	for name, changes := range map[string]bool{"same members": false, "changed members": true} {
+		b.Run(name, func(b *testing.B) {
+			c := newPopulatedControl(b, 0, 420)
+			c.ColdExcess, c.ColdSlack = 1.5, 5
+			d := &document.Document{Version: 2, Services: []document.Service{{Name: "language", ColdRequestsPerSecond: 9}}}
+			c.applyDocument(documentChange(d.Canonical()))
+			for i := range 420 {
+				e := *c.vms.Find(fmt.Sprintf("vm-%d", i+1))
+				e.CallersAddr, e.LastSeen = e.LinkAddr, c.Clock.Now().Add(time.Hour)
+				c.vms.Merge(c.Clock.Now(), e)
+			}
+			for i := range 1900 {
+				e := testEndpoint(i, 1, "")
+				e.OfService = true
+				if i < 135 {
+					e.ColdMS = ms(3_600_000)
+				}
+				c.endpoints.Announce(c.Clock.Now(), e, time.Hour)
+			}
+			c.wasReady = true
+			for b.Loop() {
+				if changes {
+					c.entryVMs.since = c.Clock.Now()
+				}
+				c.publish()
+			}
+		})
+	}
+}
