--- a/control/cold.go
+++ b/control/cold.go
@@ -74,8 +74,9 @@
 	if isCold && c.wasReady {
 		terms.Share = c.coldShareOf(k, s, rate)
 	}
-	if !stats.UpdateCold(v.PublishedAt, terms) {
-		return
+	changed := stats.UpdateCold(v.PublishedAt, terms)
+	if !changed || !c.CallersAddr.IsValid() {
+		return // a VM without callers sends nothing, and does not have the settings of the rate
 	}
 	if isCold {
 		c.Log.Log(event.EndpointCold, "endpoint", e.EndpointID, "incarnation", e.Incarnation, "pool", e.Pool,
