--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -53,7 +53,7 @@
 	RetryRefused          = Event{513, log.WarnLevel, "request not sent again: the retry budget is spent", "request_id, service, attempts, budget_left, vms", "check event 506 for why the service's endpoints fail"}
 	PromptQuarantined     = Event{514, log.WarnLevel, "prompts quarantined: endpoints crashed while they ran", "parts, crashes, repeats, left_ms, decided_here", "find out why endpoints crash under these prompt parts (event 506 has the runs); callers get 503 until the quarantine ends"}
 	RequestQuarantined    = Event{515, log.WarnLevel, "request not sent: its prompt is quarantined", "request_id, parts, left_ms, attempts", "see event 514 of these parts"}
-	PlacementFailed       = Event{516, log.WarnLevel, "placement of a prompt by another VM failed", "request_id, service, peer, error", "nothing: this VM selected the endpoint; if it repeats, check whether the VM or the link to it failed"}
+	PlacementFailed       = Event{517, log.WarnLevel, "placement of a prompt by another VM failed", "request_id, service, peer, error", "nothing: this VM selected the endpoint; if it repeats, check whether the VM or the link to it failed"}
 	DocumentActivated     = Event{601, log.InfoLevel, "document activated", "document_version, digest", "nothing"}
 	DocumentRefused       = Event{602, log.InfoLevel, "document refused", "document_version, kind, message", "fix the document and submit it again"}
 	EvacuationStarted     = Event{701, log.InfoLevel, "evacuation of a data centre in effect", "data_centre, version", "nothing; end the evacuation when the data centre may get work again"}
