caller: bound connections, heads and bodies of callers by memory and descriptors

A guard wraps the listeners of routes_addr, callers_addr and control_addr. It counts the bytes and lines of a head (also those before the request line), charges heads, bodies and buffered responses to package memory before they are allocated, caps the connections at half of the descriptors that the process does not need itself, and lets idle or stalled connections yield. Bodies and responses have time limits without progress (head_timeout, body_timeout, write_timeout, idle_timeout). Bodies are no longer copied for the call to an endpoint. Without memory_mb and max_fds there is no accounting and no cap.

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -54,23 +55,24 @@
 // ends.
 func (c *Conn) Send(ctx context.Context, call *Call) (sent bool, err error) {
 	c.stopCancel = context.AfterFunc(ctx, func() { _ = c.raw.Close() })
-	message := call.encode()
-	if len(message) <= maxInlineBytes {
-		n, err := c.raw.Write(message)
+	message := call.encodeHead()
+	if len(message)+len(call.Body) <= maxInlineBytes {
+		n, err := c.raw.Write(append(message, call.Body...))
 		c.written.Store(err == nil)
 		return n > 0, err
 	}
 	c.written.Store(false)
 	c.pool.group.Go(func() {
-		_, err := c.raw.Write(message)
+		// The body is not copied: a copy of every body in flight would double what a VM holds for its callers.
+		_, err := (&net.Buffers{message, call.Body}).WriteTo(c.raw)
 		c.written.Store(err == nil)
 	})
 	return true, nil
 }
 
-func (c *Call) encode() []byte {
-	var b strings.Builder
-	b.Grow(512 + len(c.Body))
+func (c *Call) encodeHead() []byte {
+	var b bytes.Buffer
+	b.Grow(512 + min(len(c.Body), maxInlineBytes))
 	b.WriteString(c.Method + " " + c.Target + " HTTP/1.1\r\nHost: " + c.Host + "\r\n")
 	for name, values := range c.Header {
 		for _, v := range values {
@@ -81,8 +83,7 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(c.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(c.Body)
-	return []byte(b.String())
+	return b.Bytes()
 }
 
 // Receive reads the header of the next response to a call with the given method. It skips 1xx responses, and returns an
@@ -173,9 +174,59 @@
 
 // ReadBody reads a complete response body. It returns an error if the body exceeds limit bytes.
 func ReadBody(r *http.Response, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	return ReadCharged(r, limit, Memory{})
+}
+
+// ReadCharged is ReadBody with a charge for each step of the buffer. It returns ErrNoMemory if a step cannot be charged.
+func ReadCharged(r *http.Response, limit int64, m Memory) ([]byte, error) {
+	body, err := ReadAll(io.LimitReader(r.Body, limit+1), min(r.ContentLength, limit), m)
 	if err == nil && int64(len(body)) > limit {
 		err = errors.New("the response is larger than the limit; check what the endpoint sends")
 	}
 	return body, err
 }
+
+// Memory charges the steps of a buffer. The zero value charges nothing.
+type Memory struct {
+	// Grow charges bytes before they are allocated, Shrink returns those of a buffer that is no longer referenced.
+	Grow   func(n int64) error
+	Shrink func(n int64)
+}
+
+// ErrNoMemory is returned if a step of a buffer cannot be charged.
+var ErrNoMemory = errors.New("there is no memory for the body")
+
+// minBufferBytes is the first step of a buffer.
+const minBufferBytes = 512
+
+// ReadAll reads a body whose length is expected to be size, negative if unknown. The buffer doubles at each step up to that
+// size: what is allocated follows the bytes that have arrived.
+func ReadAll(r io.Reader, size int64, m Memory) ([]byte, error) {
+	var out []byte
+	for {
+		if len(out) == cap(out) {
+			next := int64(max(minBufferBytes, 2*cap(out)))
+			// One byte more than the size, so that the end is read without another step.
+			if size >= int64(cap(out)) && size+1 < next {
+				next = size + 1
+			}
+			if m.Grow != nil && m.Grow(next) != nil {
+				return nil, ErrNoMemory
+			}
+			grown := make([]byte, len(out), next)
+			copy(grown, out)
+			if m.Shrink != nil {
+				m.Shrink(int64(cap(out)))
+			}
+			out = grown
+		}
+		n, err := r.Read(out[len(out):cap(out)])
+		out = out[:len(out)+n]
+		if errors.Is(err, io.EOF) {
+			return out, nil
+		}
+		if err != nil {
+			return out, err
+		}
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
+	"godwitplank/caller"
 	"godwitplank/console"
 	"godwitplank/control"
 	"godwitplank/entry"
@@ -66,6 +67,7 @@
 	notice          stopNotice
 	stop            stop.Schedule
 	control         *control.Control
+	guard           *caller.Guard
 	routes          *routeServer
 	entry           *entry.Server
 	runner          *pipeline.Runner
@@ -152,6 +154,7 @@
 		return err
 	}
 	d.meter = meter
+	d.guard = newGuard(s, d.log)
 	d.runner = &pipeline.Runner{
 		VM: s.VM, Incarnation: incarnation, DataCentre: s.DataCentre,
 		Pools:  pipeline.PoolsFunc(func(name string) []route.Candidate { return d.control.View().Pools[name] }),
@@ -173,7 +176,8 @@
 		Name: s.VM, DataCentre: s.DataCentre, OperatorsAddr: bound.OperatorsAddr, CallersAddr: bound.CallersAddr,
 		Views: d.control, Operations: d.control, Metrics: meter.Handler(), Token: s.OperatorToken, Log: d.log,
 	}
-	d.callers = &http.Server{Handler: d.notice.wrap(d.entry.Handler()), ReadHeaderTimeout: readHeaderTimeout}
+	d.callers = &http.Server{Handler: d.notice.wrap(d.entry.Handler())}
+	d.guard.Configure(d.callers)
 	d.operators = &http.Server{Handler: operators.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	d.link = grpc.NewServer(append(telemetry.ServerTracing(),
 		grpc.ReadBufferSize(linkBufferBytes), grpc.SharedWriteBuffer(true),
@@ -190,7 +194,7 @@
 	failures := make(chan error, 4)
 	d.start(failures, func() error { return d.control.Run(controlCtx) })
 	if listeners[0] != nil {
-		d.start(failures, func() error { return d.callers.Serve(listeners[0]) })
+		d.start(failures, func() error { return d.callers.Serve(d.guard.Listen(listeners[0], noHeadLimit)) })
 	}
 	if err := d.serveOptional(controlCtx, failures); err != nil {
 		return err
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -26,7 +26,7 @@
 )
 
 const (
-	// idleTimeout closes a caller's idle connection. Callers stop reusing theirs before that.
+	// idleTimeout closes an idle connection of a probe or of a reader of the metrics.
 	idleTimeout = 75 * time.Second
 	// controlTimeout is shorter than the second after which an operator tries another VM.
 	controlTimeout = 900 * time.Millisecond
@@ -103,11 +103,14 @@
 		name    string
 		addr    netip.AddrPort
 		handler func() http.Handler
+		// guarded is true for addresses that callers reach; headLimit is the largest head there, 0 for the default.
+		guarded   bool
+		headLimit func() int
 	}{
-		{"routes_addr", d.Settings.RoutesAddr, func() http.Handler { return d.routes.gateway }},
-		{"control_addr", d.Settings.ControlAddr, operations.Handler},
-		{"ready_addr", d.Settings.ReadyAddr, func() http.Handler { return platform.ReadyHandler(func() bool { return d.control.View().Ready }) }},
-		{"metrics_addr", d.Settings.MetricsAddr, func() http.Handler { return metricsOnly(d.meter.Handler()) }},
+		{"routes_addr", d.Settings.RoutesAddr, func() http.Handler { return d.routes.gateway }, true, d.headLimit},
+		{"control_addr", d.Settings.ControlAddr, operations.Handler, true, noHeadLimit},
+		{"ready_addr", d.Settings.ReadyAddr, func() http.Handler { return platform.ReadyHandler(func() bool { return d.control.View().Ready }) }, false, nil},
+		{"metrics_addr", d.Settings.MetricsAddr, func() http.Handler { return metricsOnly(d.meter.Handler()) }, false, nil},
 	} {
 		if !s.addr.IsValid() {
 			continue
@@ -117,6 +120,10 @@
 			return fmt.Errorf("--%s: cannot listen on %s: %w; use a free address of this VM", s.name, s.addr, err)
 		}
 		server := &http.Server{Handler: d.notice.wrap(s.handler()), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+		if s.guarded {
+			d.guard.Configure(server)
+			l = d.guard.Listen(l, s.headLimit)
+		}
 		d.optionalServers = append(d.optionalServers, server)
 		d.start(failures, func() error { return server.Serve(l) })
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -16,6 +18,8 @@
 	"github.com/gorilla/mux"
 
 	"godwitplank"
+	"godwitplank/caller"
+	"godwitplank/connection"
 	"godwitplank/control"
 	"godwitplank/document"
 	"godwitplank/endpoint"
@@ -103,17 +107,71 @@
 	return token
 }
 
-// ReadBody reads a request body of at most limit bytes.
+// ReadBody reads a request body of at most limit bytes. Each step of its buffer is charged to the caller's connection before it
+// is allocated, and stays charged until the response is complete.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *fault.Error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	c := caller.Of(r.Context())
+	reader := &bodyReader{Reader: http.MaxBytesReader(w, r.Body, limit), conn: c, controller: http.NewResponseController(w)}
+	c.BeginBody()
+	body, err := connection.ReadAll(reader, min(r.ContentLength, limit), connection.Memory{
+		Grow: func(n int64) error { return c.Grow(r.Context(), n) }, Shrink: c.Shrink,
+	})
+	c.EndBody()
+	reader.endDeadline()
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
 		return nil, fault.New(fault.BodyTooLarge, "the body is larger than %d bytes; send a smaller one", limit)
+	case errors.Is(err, connection.ErrNoMemory):
+		return nil, Busy(w)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.CountBodyTimeout()
+		w.Header().Set("Connection", "close")
 	}
-	if err != nil {
-		return nil, fault.New(fault.BadRequest, "the body could not be read completely (%v); send it again", err)
+	return nil, fault.New(fault.BadRequest, "the body could not be read completely (%v); send it again", err)
+}
+
+// Retry-After of a request for which there is no memory; spread, so that its callers do not return together.
+const (
+	minBusyRetry = time.Second
+	maxBusyRetry = 2 * time.Second
+)
+
+// Busy returns the refusal of a request for which there is no memory, and closes its connection after the response, so that
+// the rest of its body is not read.
+func Busy(w http.ResponseWriter) *fault.Error {
+	w.Header().Set("Connection", "close")
+	return fault.New(fault.Busy, "this VM has no memory for the request at present; try again after the indicated delay").
+		WithOutcome(godwitplank.NotRun, minBusyRetry+rand.N(maxBusyRetry-minBusyRetry))
+}
+
+// bodyReader gives each part of a body its own time limit.
+type bodyReader struct {
+	io.Reader
+	conn       *caller.Conn
+	controller *http.ResponseController
+	set        time.Time
+}
+
+// deadlineStep is how much later a time limit has to be than the present one to be set again.
+const deadlineStep = time.Second
+
+// Read implements io.Reader.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	if deadline := b.conn.BodyDeadline(); deadline.Sub(b.set) > deadlineStep {
+		if b.controller.SetReadDeadline(deadline) == nil {
+			b.set = deadline
+		}
+	}
+	return b.Reader.Read(p)
+}
+
+func (b *bodyReader) endDeadline() {
+	if !b.set.IsZero() {
+		_ = b.controller.SetReadDeadline(time.Time{})
 	}
-	return body, nil
 }
 
 func (e *Server) serveAnnouncement(w http.ResponseWriter, r *http.Request) {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -48,6 +48,7 @@
 	RetryRefused          = Event{513, log.WarnLevel, "request not sent again: the retry budget is spent", "request_id, service, attempts, budget_left, vms", "check event 506 for why the service's endpoints fail"}
 	PromptQuarantined     = Event{514, log.WarnLevel, "prompts quarantined: endpoints crashed while they ran", "parts, crashes, repeats, left_ms, decided_here", "find out why endpoints crash under these prompt parts (event 506 has the runs); callers get 503 until the quarantine ends"}
 	RequestQuarantined    = Event{515, log.WarnLevel, "request not sent: its prompt is quarantined", "request_id, parts, left_ms, attempts", "see event 514 of these parts"}
+	CallersBounded        = Event{516, log.WarnLevel, "connections of callers refused or closed", "cause, refused, yielded, heads, no_memory, body_timeouts, write_timeouts", "at most one line a second; see Untrusted callers in docs/OPERATIONS.md"}
 	DocumentActivated     = Event{601, log.InfoLevel, "document activated", "document_version, digest", "nothing"}
 	DocumentRefused       = Event{602, log.InfoLevel, "document refused", "document_version, kind, message", "fix the document and submit it again"}
 )
@@ -59,6 +60,6 @@
 	VMAlive, VMLost, ConnectionReset,
 	EndpointAnnounced, EndpointDraining, EndpointLost, EndpointConflict, EndpointEjected, EndpointLeaves, EndpointQuiet, EndpointQuietEnded, EndpointNoticeIgnored, DepartureNotRecorded,
 	RequestRefused, AnswerDropped, OutcomeUnknown,
-	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, BatchFinished, StageFinished, ResultNotReleased, DispatcherFailed, RequestAccepted, RetryRefused, PromptQuarantined, RequestQuarantined,
+	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, BatchFinished, StageFinished, ResultNotReleased, DispatcherFailed, RequestAccepted, RetryRefused, PromptQuarantined, RequestQuarantined, CallersBounded,
 	DocumentActivated, DocumentRefused,
 }
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -36,6 +36,7 @@
 	OrderUnknown       Kind = "order_unknown"
 	OrderRunning       Kind = "order_running"
 	Stopping           Kind = "stopping"
+	Busy               Kind = "busy"
 	InvalidDocument    Kind = "invalid_document"
 	VersionConflict    Kind = "version_conflict"
 	ChangeIDReused     Kind = "change_id_reused"
@@ -72,6 +73,7 @@
 	OrderUnknown:       http.StatusConflict,
 	OrderRunning:       http.StatusConflict,
 	Stopping:           http.StatusServiceUnavailable,
+	Busy:               http.StatusServiceUnavailable,
 	InvalidDocument:    http.StatusUnprocessableEntity,
 	VersionConflict:    http.StatusConflict,
 	ChangeIDReused:     http.StatusConflict,
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -322,7 +322,7 @@
 			return r, header, nil
 		}
 		g.Log.Log(event.AnswerDropped, "request_id", x.ID, "stage", x.service.Name, "attempt", x.attempts, "endpoint", header.RequestID)
-		if _, err := connection.ReadBody(r, maxResponseBytes); err != nil {
+		if _, err := connection.ReadCharged(r, maxResponseBytes, x.memory()); err != nil {
 			return nil, ResponseHeader{}, err
 		}
 	}
@@ -336,7 +336,7 @@
 	if success && header.Sealed && x.route.Kind == document.Stream && isEventStream(r) {
 		return g.forwardStream(x, a, r)
 	}
-	body, err := connection.ReadBody(r, maxResponseBytes)
+	body, err := connection.ReadCharged(r, maxResponseBytes, x.memory())
 	if err != nil {
 		a.conn.Close()
 		return outcome{err: truncated(err), mayHaveRun: !header.NotRun}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"godwitplank"
+	"godwitplank/caller"
 	"godwitplank/connection"
 	"godwitplank/control"
 	"godwitplank/crash"
@@ -20,6 +21,7 @@
 	"godwitplank/entry"
 	"godwitplank/event"
 	"godwitplank/fault"
+	"godwitplank/memory"
 	"godwitplank/piece"
 	"godwitplank/retry"
 	"godwitplank/route"
@@ -97,6 +99,26 @@
 	answerBound *stop.Bound
 	// status is the HTTP status sent to the caller.
 	status int
+	// conn is the caller's connection, which what is held for the request is charged to; nil without accounting.
+	conn  *caller.Conn
+	ctx   context.Context
+	clock timer.Clock
+}
+
+// memory charges the buffers of responses to the caller's connection. Since the request may have run by then, it waits for
+// memory until the deadline, and then the request fails.
+func (x *exchange) memory() connection.Memory {
+	return connection.Memory{
+		Grow: func(n int64) error {
+			for {
+				err := x.conn.Grow(x.ctx, n)
+				if err == nil || errors.Is(err, memory.ErrClosed) || x.ctx.Err() != nil || !x.clock.Now().Before(x.deadline) {
+					return err
+				}
+			}
+		},
+		Shrink: x.conn.Shrink,
+	}
 }
 
 // InFlight returns the number of requests being served.
@@ -109,7 +131,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	x := &exchange{w: w, received: g.Clock.Now(), view: g.Views.View()}
+	x := &exchange{w: w, received: g.Clock.Now(), view: g.Views.View(), conn: caller.Of(r.Context()), ctx: r.Context(), clock: g.Clock}
 	err := g.admit(x, r)
 	if err == nil {
 		err = g.serve(r.Context(), x)
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -58,6 +58,11 @@
 	DiskLosses int
 	// MemoryMB is the memory limit of the process in MB, 0 for none.
 	MemoryMB int
+	// MaxFDs is the number of descriptors that the process may have, 0 for the limit of the operating system.
+	MaxFDs int
+	// HeadTimeout, BodyTimeout, WriteTimeout and IdleTimeout limit how long a caller may take for a head, for each part of a
+	// body and of a response, and between two requests.
+	HeadTimeout, BodyTimeout, WriteTimeout, IdleTimeout time.Duration
 	// StopGrace limits the time from a signal to the exit of the process. 0 derives the limit from the longest deadline
 	// in the document.
 	StopGrace time.Duration
@@ -106,6 +111,11 @@
 	{"policy", "predicted", "load balancing policy: predicted, least_in_flight, round_robin or random", setPolicy},
 	{"capacity", "0", "CPU capacity of this VM, in cores; the VMs with the highest share dispatch pieces for the others", func(s *Settings, v string) error { return setNumber(&s.Capacity, v) }},
 	{"memory_mb", "0", "memory that the process may use, in MB; 0 for no limit", func(s *Settings, v string) error { return setCount(&s.MemoryMB, v) }},
+	{"max_fds", "0", "file descriptors that the process may have; 0 for the limit of the operating system", func(s *Settings, v string) error { return setCount(&s.MaxFDs, v) }},
+	{"head_timeout", "10s", "time in which a caller has to send the head of a request", func(s *Settings, v string) error { return setDuration(&s.HeadTimeout, v) }},
+	{"body_timeout", "10s", "time in which a caller has to send each part of a body", func(s *Settings, v string) error { return setDuration(&s.BodyTimeout, v) }},
+	{"write_timeout", "30s", "time in which a caller has to read each 64 KB of a response", func(s *Settings, v string) error { return setDuration(&s.WriteTimeout, v) }},
+	{"idle_timeout", "75s", "time after which a caller's idle connection is closed", func(s *Settings, v string) error { return setDuration(&s.IdleTimeout, v) }},
 	{"stop_grace", "0s", "maximum time from a signal to the exit of the process; 0s to derive it from the longest deadline", func(s *Settings, v string) error { return setDuration(&s.StopGrace, v) }},
 	{"retry_ratio", "0.2", "share of a service's requests that all VMs together may retry", setRetryRatio},
 	{"retry_slack", "20", "number of retries per service and window allowed in addition to retry_ratio; may be a fraction", func(s *Settings, v string) error { return setNumber(&s.Retry.Slack, v) }},
