caller: fairness between addresses, metrics and the setting max_fds

If no connection is idle or stalled, the address with the most connections gives one up, since callers that send a byte now and then would otherwise keep all others out. VMs without routes keep a quarter of their descriptors for VMs instead of half for endpoints. Buffers do not grow past the limit of the body. Fields of a head are charged instead of limited in number.

--- a/caller/guard.go
+++ b/caller/guard.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,9 +22,6 @@
 	ownHeadBytes = 32 << 10
 	// headSlack is allowed in addition to the limit, for the request line and empty lines before it.
 	headSlack = 4 << 10
-	// maxHeadLines bounds the lines of a head, including empty ones before it. A field takes about 250 bytes once decoded,
-	// whatever its length.
-	maxHeadLines = 1024
 	// lineBytes and headFactor are the decoded size of a line of a head and of each byte: the field in its map, and the copies
 	// that are forwarded.
 	lineBytes, headFactor = 256, 4
@@ -61,9 +59,9 @@
 
 // Counts are the numbers of connections by state and of those that were refused or closed, by cause.
 type Counts struct {
-	Idle, Head, Body, Running, Writing          int64
-	Refused, Yielded, HeadTooLarge, BodyTimeout int64
-	WriteTimeout, NoMemory                      int64
+	Idle, Head, Body, Running, Writing                       int64
+	Refused, Yielded, HeadTooLarge, BodyTimeout, HeadTimeout int64
+	WriteTimeout, NoMemory                                   int64
 }
 
 // state is what a connection does.
@@ -142,7 +140,9 @@
 	var oldest *Conn
 	full := g.MaxConnections > 0 && len(g.conns) >= g.MaxConnections
 	if full {
-		oldest = g.chooseYielding(now)
+		if oldest = g.chooseYielding(now); oldest == nil {
+			oldest = g.chooseOfLargest(c.addr)
+		}
 	}
 	if full && oldest == nil {
 		g.mu.Unlock()
@@ -186,6 +186,27 @@
 	return out
 }
 
+// chooseOfLargest returns the oldest connection without a running request of the address with the most connections, nil if
+// that has hardly more than the address of the new connection. Callers that send a byte now and then make progress, so that
+// otherwise they could keep all others out.
+func (g *Guard) chooseOfLargest(newcomer netip.Addr) *Conn {
+	counts := make(map[netip.Addr]int)
+	for c := range g.conns {
+		counts[c.addr]++
+	}
+	var out *Conn
+	for c := range g.conns {
+		switch {
+		case c.state == running || c.yielded || counts[c.addr] <= counts[newcomer]+1:
+		case out == nil || counts[c.addr] > counts[out.addr]:
+			out = c
+		case counts[c.addr] == counts[out.addr] && c.since.Before(out.since):
+			out = c
+		}
+	}
+	return out
+}
+
 // yield closes the connection, which makes net/http end its request.
 func (c *Conn) yield() {
 	_ = c.Conn.Close()
@@ -243,6 +264,9 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n <= 0 {
+		if c.readingHead.Load() && c.headScan.bytes > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			c.guard.count(func(n *Counts) { n.HeadTimeout++ }, "head timeout")
+		}
 		return n, err
 	}
 	if c.readingHead.Load() {
@@ -260,9 +284,9 @@
 	return n, err
 }
 
-// headScan counts the bytes and lines of a head, including empty lines before the request line.
+// headScan counts the bytes of a head, including empty lines before the request line.
 type headScan struct {
-	bytes, lines int
+	bytes int
 	// lineBytes is the length of the present line; begun is true after the first line that is not empty, ended after the
 	// empty line that ends the head.
 	lineBytes    int
@@ -287,7 +311,6 @@
 		}
 	}
 	h.bytes += count
-	h.lines += lines
 	return count, lines
 }
 
@@ -300,7 +323,7 @@
 	if limit <= 0 && c.Account != nil {
 		limit = ownHeadBytes
 	}
-	if limit > 0 && (c.headScan.bytes > limit+headSlack || c.headScan.lines > maxHeadLines) {
+	if limit > 0 && c.headScan.bytes > limit+headSlack {
 		c.guard.count(func(n *Counts) { n.HeadTooLarge++ }, "head too large")
 		return 0, errHeadTooLarge
 	}
--- a/connection/conn.go
+++ b/connection/conn.go
@@ -179,7 +179,7 @@
 
 // ReadCharged is ReadBody with a charge for each step of the buffer. It returns ErrNoMemory if a step cannot be charged.
 func ReadCharged(r *http.Response, limit int64, m Memory) ([]byte, error) {
-	body, err := ReadAll(io.LimitReader(r.Body, limit+1), min(r.ContentLength, limit), m)
+	body, err := ReadAll(io.LimitReader(r.Body, limit+1), r.ContentLength, limit, m)
 	if err == nil && int64(len(body)) > limit {
 		err = errors.New("the response is larger than the limit; check what the endpoint sends")
 	}
@@ -199,25 +199,28 @@
 // minBufferBytes is the first step of a buffer.
 const minBufferBytes = 512
 
-// ReadAll reads a body whose length is expected to be size, negative if unknown. The buffer doubles at each step up to that
-// size: what is allocated follows the bytes that have arrived.
-func ReadAll(r io.Reader, size int64, m Memory) ([]byte, error) {
+// ReadAll reads a body of an expected size, negative if unknown, of which r returns at most limit+1 bytes. The buffer doubles at
+// each step, up to the size or the limit, so that what is allocated follows the bytes that have arrived. After an error nothing
+// stays charged.
+func ReadAll(r io.Reader, size, limit int64, m Memory) ([]byte, error) {
+	// One byte more than can arrive, so that the end is read without another step.
+	largest := limit + 2
+	if size >= 0 && size <= limit {
+		largest = size + 1
+	}
 	var out []byte
 	for {
 		if len(out) == cap(out) {
-			next := int64(max(minBufferBytes, 2*cap(out)))
-			// One byte more than the size, so that the end is read without another step.
-			if size >= int64(cap(out)) && size+1 < next {
-				next = size + 1
+			next := max(minBufferBytes, 2*int64(cap(out)))
+			if int64(cap(out)) < largest {
+				next = min(next, largest)
 			}
 			if m.Grow != nil && m.Grow(next) != nil {
-				return nil, ErrNoMemory
+				return nil, m.release(out, ErrNoMemory)
 			}
 			grown := make([]byte, len(out), next)
 			copy(grown, out)
-			if m.Shrink != nil {
-				m.Shrink(int64(cap(out)))
-			}
+			_ = m.release(out, nil)
 			out = grown
 		}
 		n, err := r.Read(out[len(out):cap(out)])
@@ -226,7 +229,15 @@
 			return out, nil
 		}
 		if err != nil {
-			return out, err
+			return nil, m.release(out, err)
 		}
 	}
 }
+
+// release returns the bytes of a buffer, and err.
+func (m Memory) release(buffer []byte, err error) error {
+	if m.Shrink != nil {
+		m.Shrink(int64(cap(buffer)))
+	}
+	return err
+}
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -19,6 +19,9 @@
 		{Name: "godwitplank_vms_alive", Description: "VMs that are alive as this one knows, itself among them.", Read: d.readVMs},
 		{Name: "godwitplank_stage_queue_pieces", Description: "Pieces of a stage's service that wait here for an endpoint.", Read: d.readQueues},
 		{Name: "godwitplank_retry_budget_left", Description: "Calls of a service that this VM may still repeat now.", Read: d.readBudgets},
+		{Name: "godwitplank_caller_bytes", Description: "Bytes that are charged for callers, and the budget.", Read: d.readCallerBytes},
+		{Name: "godwitplank_caller_connections", Description: "Connections of callers by state.", Read: d.readCallerConnections},
+		{Name: "godwitplank_caller_refusals", Description: "Connections and requests of callers refused, closed or timed out since the start, by cause.", Read: d.readCallerRefusals},
 		{Name: "godwitplank_log_lines_dropped", Description: "Log lines that the output did not take in time, since the start.", Read: d.readDropped},
 	}
 }
--- a/daemon/guard.go
+++ b/daemon/guard.go
@@ -9,6 +9,7 @@
 	"godwitplank/event"
 	"godwitplank/memory"
 	"godwitplank/setting"
+	"godwitplank/telemetry"
 	"godwitplank/timer"
 )
 
@@ -30,8 +31,9 @@
 	}
 }
 
-// maxConnections returns the number of callers' connections, 0 for no limit. Each may need a connection to an endpoint, so
-// callers get half of the descriptors that the process does not need itself.
+// maxConnections returns the number of callers' connections, 0 for no limit. On a VM that serves routes each may need a
+// connection to an endpoint, so callers get half of the descriptors that the process does not need itself. Other VMs keep a
+// quarter for connections of VMs.
 func maxConnections(s *setting.Settings) int {
 	if s.MemoryMB == 0 && s.MaxFDs == 0 {
 		return 0
@@ -44,7 +46,11 @@
 	if s.MaxFDs > 0 {
 		fds = min(fds, uint64(s.MaxFDs))
 	}
-	return max(minConnections, (int(fds)-ownFDs)/2)
+	free := int(fds) - ownFDs
+	if s.RoutesAddr.IsValid() {
+		return max(minConnections, free/2)
+	}
+	return max(minConnections, free-free/4)
 }
 
 // headLimit returns the largest head of a request of a route, as the document sets it.
@@ -59,3 +65,33 @@
 func noHeadLimit() int {
 	return 0
 }
+
+func (d *Daemon) readCallerBytes() []telemetry.Reading {
+	u := d.guard.Budget.Usage()
+	return []telemetry.Reading{
+		{Value: float64(u.Used), Labels: []string{"kind", "held"}},
+		{Value: float64(u.Total), Labels: []string{"kind", "budget"}},
+	}
+}
+
+func (d *Daemon) readCallerConnections() []telemetry.Reading {
+	n := d.guard.Counts()
+	return labelled("state", map[string]int64{"idle": n.Idle, "head": n.Head, "body": n.Body, "running": n.Running, "writing": n.Writing})
+}
+
+func (d *Daemon) readCallerRefusals() []telemetry.Reading {
+	n, u := d.guard.Counts(), d.guard.Budget.Usage()
+	return labelled("cause", map[string]int64{
+		"too_many_connections": n.Refused, "yielded_connection": n.Yielded, "yielded_memory": u.Yielded, "head_too_large": n.HeadTooLarge,
+		"no_memory": n.NoMemory, "head_timeout": n.HeadTimeout, "body_timeout": n.BodyTimeout, "write_timeout": n.WriteTimeout,
+	})
+}
+
+// labelled returns a reading for each value of a label.
+func labelled(label string, values map[string]int64) []telemetry.Reading {
+	var out []telemetry.Reading
+	for value, n := range values {
+		out = append(out, telemetry.Reading{Value: float64(n), Labels: []string{label, value}})
+	}
+	return out
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -113,7 +113,7 @@
 	c := caller.Of(r.Context())
 	reader := &bodyReader{Reader: http.MaxBytesReader(w, r.Body, limit), conn: c, controller: http.NewResponseController(w)}
 	c.BeginBody()
-	body, err := connection.ReadAll(reader, min(r.ContentLength, limit), connection.Memory{
+	body, err := connection.ReadAll(reader, r.ContentLength, limit, connection.Memory{
 		Grow: func(n int64) error { return c.Grow(r.Context(), n) }, Shrink: c.Shrink,
 	})
 	c.EndBody()
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -21,8 +21,8 @@
 
 const (
 	// SmallBytes is the size up to which an account may use the reserve and is exempt from the share of its address.
-	// Ordinary requests have up to 55 KB.
-	SmallBytes = 128 << 10
+	// Ordinary requests have bodies of up to 55 KB; while the buffer doubles and with the response they take up to 200 KB.
+	SmallBytes = 256 << 10
 	// reserveDivisor gives the part of the budget that only accounts of up to SmallBytes use, so that ordinary requests are
 	// served beside large ones.
 	reserveDivisor = 4
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -100,7 +100,7 @@
 // numbers. Every setting of the templates in deploy/ that takes a number accepts them.
 func TestNumbers(t *testing.T) {
 	for _, value := range []string{"0", "1", "33.05263157894737", "6.28e2", "1e-3", "1e300"} {
-		for _, name := range []string{"capacity", "memory_mb", "disk_losses", "retry_ratio", "retry_slack"} {
+		for _, name := range []string{"capacity", "memory_mb", "max_fds", "disk_losses", "retry_ratio", "retry_slack"} {
 			_, err := read(t, "--vm", "a", "--data_centre", "d", "--"+name, value)
 			if err != nil {
 				t.Errorf("--%s %s: %v", name, value, err)
