document, event: bound the nesting of documents and sample refusals before admission

The YAML decoder calls itself for each level and copies what an alias names. Lines of requests that are refused before they are admitted are limited to 20 a second; the next one says how many were skipped.

--- a/document/document.go
+++ b/document/document.go
@@ -111,6 +111,9 @@
 	if len(text) > MaxBytes {
 		return nil, fault.New(fault.BodyTooLarge, "the document is larger than %d bytes; make it smaller", MaxBytes)
 	}
+	if err := checkNesting(text); err != nil {
+		return nil, err
+	}
 	d := &Document{}
 	dec := yaml.NewDecoder(bytes.NewReader(text), yaml.DisallowUnknownField())
 	if err := dec.Decode(d); err != nil && !errors.Is(err, io.EOF) {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -37,7 +37,7 @@
 	AnswerDropped         = Event{502, log.WarnLevel, "stage answer dropped: its ids do not match the call", "request_id, stage, attempt, endpoint", "the endpoint mixes up answers: remove it and fix it"}
 	OutcomeUnknown        = Event{503, log.WarnLevel, "outcome of a non-idempotent call is unknown", "request_id, workspace, stage", "check the service's own records for whether it ran"}
 	RequestSent           = Event{504, log.InfoLevel, "request sent to an endpoint", "request_id, endpoint, addr, attempt, cause, candidates, in_flight, cached_tokens, uncached_tokens, confirmed, left_ms, budget_left", "nothing"}
-	RequestAnswered       = Event{505, log.InfoLevel, "request answered", "request_id, route, workspace, document_version, status, kind, message, stages_ms, first_ms, took_ms, left_ms, attempts, retry_after_ms", "if kind is not empty, check the other log lines of the request"}
+	RequestAnswered       = Event{505, log.InfoLevel, "request answered", "request_id, route, workspace, document_version, status, kind, message, stages_ms, first_ms, took_ms, left_ms, attempts, retry_after_ms, skipped", "if kind is not empty, check the other log lines of the request"}
 	AttemptFailed         = Event{506, log.WarnLevel, "attempt failed", "request_id, endpoint, error, sent, not_run, closed_by_endpoint, parts, took_ms, shed_ms", "if it repeats, check the endpoint"}
 	StreamResumed         = Event{507, log.InfoLevel, "stream resumed at another endpoint", "request_id, endpoint, last_event, passed_ms", "nothing"}
 	BatchFinished         = Event{508, log.InfoLevel, "batch of stage pieces finished", "service, endpoint, pieces, requests, waited_ms, took_ms, predicted_ms, without_room, result", "if took_ms is far above predicted_ms, the endpoint is slow"}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,6 +52,7 @@
 	Log   event.Logger
 
 	inFlight atomic.Int64
+	refusals event.Sampler
 	delays   delayEstimator
 	runs     runEstimator
 }
@@ -291,10 +292,18 @@
 		firstByte = x.firstByteAt.Sub(x.received)
 	}
 	g.Meter.RecordRequest(routeName, string(outcome), kind, now.Sub(x.received))
+	skipped := int64(0)
+	if x.service == nil && e != nil {
+		// The request was refused before it was admitted, which costs its caller nothing.
+		var ok bool
+		if skipped, ok = g.refusals.Allow(now); !ok {
+			return
+		}
+	}
 	g.Log.Log(event.RequestAnswered, "request_id", x.ID, "route", routeName, "workspace", x.workspace, "document_version", version,
 		"status", x.status, "kind", kind, "message", message, "stages_ms", x.stagesDuration.Milliseconds(), "first_ms", firstByte.Milliseconds(),
 		"took_ms", now.Sub(x.received).Milliseconds(), "left_ms", remaining.Milliseconds(), "attempts", x.attempts,
-		"retry_after_ms", retryAfter)
+		"retry_after_ms", retryAfter, "skipped", skipped)
 }
 
 func splitList(text string) []string {
