--- a/caller/guard.go
+++ b/caller/guard.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -329,11 +330,21 @@
 	}
 	if c.Account.Grow(c.guard.Clock.Now(), int64(count*headFactor+lines*lineBytes)) != nil {
 		c.guard.count(func(n *Counts) { n.NoMemory++ }, "no memory")
-		return 0, memory.ErrFull
+		// The request has not been parsed, so net/http cannot refuse it. After io.EOF it closes the connection without a response.
+		_ = c.SetWriteDeadline(c.guard.Clock.Now().Add(refusalTimeout))
+		_, _ = io.WriteString(c.Conn, busyResponse)
+		return 0, io.EOF
 	}
 	return len(p), err
 }
 
+// busyResponse refuses a request whose head there is no memory for. It fits into the send buffer of any connection whose caller
+// has read earlier responses; refusalTimeout is for others.
+const (
+	busyResponse   = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	refusalTimeout = 100 * time.Millisecond
+)
+
 // Write writes to the caller in parts, each of which has WriteTimeout.
 func (c *Conn) Write(p []byte) (int, error) {
 	before := c.swapState(writing)
@@ -480,6 +491,11 @@
 	}
 }
 
+// Fits reports whether n bytes could be charged if nothing else were.
+func (c *Conn) Fits(n int64) bool {
+	return c == nil || c.guard.Budget == nil || n <= c.guard.Budget.Largest()
+}
+
 // Shrink returns n bytes that are no longer referenced.
 func (c *Conn) Shrink(n int64) {
 	if c != nil {
--- a/caller/guard_test.go
+++ b/caller/guard_test.go
@@ -185,3 +185,17 @@
 	is.Equal(status, 200)
 	is.Equal(body, fmt.Sprint(maxBody))
 }
+
+// Guards against a refusal that does not say that the request has not run, where there is no memory for its head.
+func TestNoMemoryForHead(t *testing.T) {
+	is := is.New(t)
+	g := &caller.Guard{Budget: memory.NewBudget(40<<10, 40<<10)}
+	c, r := open(t, serve(t, g))
+	_, err := io.WriteString(c, requestHead(8<<10, 0))
+	is.NoErr(err)
+	response, err := http.ReadResponse(r, nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 503)
+	is.Equal(response.Header.Get("Retry-After"), "1")
+	is.Equal(g.Counts().NoMemory, int64(1))
+}
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -225,12 +225,9 @@
 	return Usage{Total: b.total, Used: b.used, Full: b.refused[ErrFull], Share: b.refused[ErrShare], Yielded: b.yielded}
 }
 
-// Total returns the size of the budget, 0 for a nil one.
-func (b *Budget) Total() int64 {
-	if b == nil {
-		return 0
-	}
-	return b.total
+// Largest returns the most that one account may hold.
+func (b *Budget) Largest() int64 {
+	return min(b.total-b.reserve, b.share)
 }
 
 const (
