--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
+	"godwitplank/caller"
 	"godwitplank/console"
 	"godwitplank/control"
 	"godwitplank/entry"
@@ -67,6 +68,7 @@
 	notice          stopNotice
 	stop            stop.Schedule
 	control         *control.Control
+	guard           *caller.Guard
 	routes          *routeServer
 	entry           *entry.Server
 	runner          *pipeline.Runner
@@ -153,6 +155,7 @@
 		return err
 	}
 	d.meter = meter
+	d.guard = newGuard(s, d.log)
 	d.runner = &pipeline.Runner{
 		VM: s.VM, Incarnation: incarnation, DataCentre: s.DataCentre,
 		Pools:  pipeline.PoolsFunc(func(name string) []route.Candidate { return d.control.View().Pools[name] }),
@@ -177,7 +180,8 @@
 	if d.routes != nil {
 		operators.Explainer = &gateway.Explainer{Gateway: d.routes.gateway, Broker: d.routes.broker, Policy: s.Policy}
 	}
-	d.callers = &http.Server{Handler: d.notice.wrap(d.entry.Handler()), ReadHeaderTimeout: readHeaderTimeout}
+	d.callers = &http.Server{Handler: d.notice.wrap(d.entry.Handler())}
+	d.guard.Configure(d.callers)
 	d.operators = &http.Server{Handler: operators.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	d.link = grpc.NewServer(append(telemetry.ServerTracing(),
 		grpc.ReadBufferSize(linkBufferBytes), grpc.SharedWriteBuffer(true),
@@ -194,7 +198,7 @@
 	failures := make(chan error, 4)
 	d.start(failures, func() error { return d.control.Run(controlCtx) })
 	if listeners[0] != nil {
-		d.start(failures, func() error { return d.callers.Serve(listeners[0]) })
+		d.start(failures, func() error { return d.callers.Serve(d.guard.Listen(listeners[0], noHeadLimit)) })
 	}
 	if err := d.serveOptional(controlCtx, failures); err != nil {
 		return err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"godwitplank"
+	"godwitplank/caller"
 	"godwitplank/connection"
 	"godwitplank/control"
 	"godwitplank/crash"
@@ -20,6 +21,7 @@
 	"godwitplank/entry"
 	"godwitplank/event"
 	"godwitplank/fault"
+	"godwitplank/memory"
 	"godwitplank/piece"
 	"godwitplank/placement"
 	"godwitplank/retry"
@@ -53,6 +55,7 @@
 	Log   event.Logger
 
 	inFlight atomic.Int64
+	refusals event.Sampler
 	delays   delayEstimator
 	runs     runEstimator
 }
@@ -102,6 +105,26 @@
 	answerBound *stop.Bound
 	// status is the HTTP status sent to the caller.
 	status int
+	// conn is the caller's connection, which what is held for the request is charged to; nil without accounting.
+	conn  *caller.Conn
+	ctx   context.Context
+	clock timer.Clock
+}
+
+// memory charges the buffers of responses to the caller's connection. Since the request may have run by then, it waits for
+// memory until the deadline, and then the request fails.
+func (x *exchange) memory() connection.Memory {
+	return connection.Memory{
+		Grow: func(n int64) error {
+			for {
+				err := x.conn.Grow(x.ctx, n)
+				if err == nil || errors.Is(err, memory.ErrClosed) || x.ctx.Err() != nil || !x.clock.Now().Before(x.deadline) {
+					return err
+				}
+			}
+		},
+		Shrink: x.conn.Shrink,
+	}
 }
 
 // InFlight returns the number of requests being served.
@@ -114,7 +137,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	x := &exchange{w: w, received: g.Clock.Now(), view: g.Views.View()}
+	x := &exchange{w: w, received: g.Clock.Now(), view: g.Views.View(), conn: caller.Of(r.Context()), ctx: r.Context(), clock: g.Clock}
 	err := g.admit(x, r)
 	if err == nil {
 		err = g.serve(r.Context(), x)
@@ -277,10 +300,18 @@
 		firstByte = x.firstByteAt.Sub(x.received)
 	}
 	g.Meter.RecordRequest(routeName, string(outcome), kind, now.Sub(x.received))
+	skipped := int64(0)
+	if x.service == nil && e != nil {
+		// The request was refused before it was admitted, which costs its caller nothing.
+		var ok bool
+		if skipped, ok = g.refusals.Allow(now); !ok {
+			return
+		}
+	}
 	g.Log.Log(event.RequestAnswered, "request_id", x.ID, "route", routeName, "workspace", x.workspace, "document_version", version,
 		"status", x.status, "kind", kind, "message", message, "stages_ms", x.stagesDuration.Milliseconds(), "first_ms", firstByte.Milliseconds(), "pause_ms", x.longestPause.Milliseconds(),
 		"took_ms", now.Sub(x.received).Milliseconds(), "left_ms", remaining.Milliseconds(), "attempts", x.attempts,
-		"retry_after_ms", retryAfter)
+		"retry_after_ms", retryAfter, "skipped", skipped)
 }
 
 func splitList(text string) []string {
--- a/setting/number.go
+++ b/setting/number.go
@@ -53,6 +53,15 @@
 	return nil
 }
 
+// setOptionalCount is setCount with 0 for an empty value, as setOptionalNumber.
+func setOptionalCount(field *int, value string) error {
+	if value == "" {
+		*field = 0
+		return nil
+	}
+	return setCount(field, value)
+}
+
 // setDuration accepts Go's durations, and seconds with an exponent.
 func setDuration(field *time.Duration, value string) error {
 	d, err := time.ParseDuration(value)
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -101,7 +101,7 @@
 // numbers. Every setting of the templates in deploy/ that takes a number accepts them.
 func TestNumbers(t *testing.T) {
 	for _, value := range []string{"0", "1", "33.05263157894737", "6.28e2", "1e-3", "1e300"} {
-		for _, name := range []string{"capacity", "memory_mb", "disk_losses", "retry_ratio", "retry_slack", "cold_excess", "cold_slack"} {
+		for _, name := range []string{"capacity", "memory_mb", "max_fds", "disk_losses", "retry_ratio", "retry_slack", "cold_excess", "cold_slack"} {
 			_, err := read(t, "--vm", "a", "--data_centre", "d", "--"+name, value)
 			if err != nil {
 				t.Errorf("--%s %s: %v", name, value, err)
@@ -166,7 +166,7 @@
 func TestEmptyBounds(t *testing.T) {
 	is := is.New(t)
 	file := filepath.Join(t.TempDir(), "settings.yaml")
-	is.NoErr(os.WriteFile(file, []byte("vm: a\ndata_centre: d\ncold_excess: \"\"\ncold_slack: \"\"\nevacuate_within_ms: \"\"\n"), 0o600))
+	is.NoErr(os.WriteFile(file, []byte("vm: a\ndata_centre: d\ncold_excess: \"\"\ncold_slack: \"\"\nevacuate_within_ms: \"\"\nmax_fds: \"\"\n"), 0o600))
 	s, err := read(t, "--settings_file", file)
 	is.NoErr(err)
 	is.Equal(s.Cold.Excess, 1.0)
