admission: decide what starts, waits or is refused in an overload

When a stage has less capacity than its load for seconds, nearly all jobs wait and many callers leave unserved. Package admission decides from the predicted capacity (endpoints' call times, memory for results and the rate at which it becomes free, demand by priority) which jobs of a service start, wait or are refused, and when their callers should return. A queue with an admitter uses it; the dispatcher's queues have none yet, so nothing changes.

--- a/piece/dispatcher.go
+++ b/piece/dispatcher.go
@@ -91,6 +91,9 @@
 	lastCall time.Time
 	// heldBytes is the memory of the results held there, including those expected from calls in flight.
 	heldBytes int64
+	// freed counts the memory that became free. callEnds is when the last call is predicted to end.
+	freed    rate
+	callEnds time.Time
 }
 
 // NewDispatcher returns a Dispatcher. Run Serve for retries and for freeing results.
--- a/piece/piece.go
+++ b/piece/piece.go
@@ -37,6 +37,8 @@
 	// InputsHoldMemory is true if the inputs occupy a considerable part of other endpoints' memory for results. The job
 	// then keeps its place in the queue even if it can no longer meet its objective.
 	InputsHoldMemory bool
+	// Returned is true if the request's caller was refused before. Due then counts from its first attempt.
+	Returned bool
 }
 
 // Item is one piece in a call to an endpoint.
--- a/piece/queue.go
+++ b/piece/queue.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"godwitplank/admission"
 )
 
 // maxFailures is how many times a piece may fail before its job does.
@@ -25,6 +27,9 @@
 	predicted time.Duration
 	// started is true once a piece was sent to an endpoint.
 	started bool
+	// claim is the job's claim for capacity, used by a queue with an admitter. refusal is why it was refused.
+	claim   admission.Claim
+	refusal admission.Decision
 }
 
 // unit is a piece that is queued or in a call.
@@ -40,7 +45,7 @@
 }
 
 func newPendingJob(j *Job, now time.Time, predicted time.Duration) *pendingJob {
-	return &pendingJob{Job: j, handles: make([]string, j.Pieces), remaining: j.Pieces, done: make(chan error, 1), queuedAt: now, predicted: predicted}
+	return &pendingJob{Job: j, handles: make([]string, j.Pieces), remaining: j.Pieces, done: make(chan error, 1), queuedAt: now, predicted: predicted, claim: newClaim(j, predicted)}
 }
 
 func (p *pendingJob) units() []*unit {
@@ -67,6 +72,8 @@
 	units int
 	// passedOverSince is when the queue began to pass over its late jobs, by priority.
 	passedOverSince map[int]time.Time
+	// admitter orders and refuses the jobs; nil for the order of compareUrgency.
+	admitter *admitter
 }
 
 // insert adds units and places their jobs in order of urgency.
@@ -74,17 +81,27 @@
 	for _, u := range units {
 		q.units++
 		u.job.waiting = append(u.job.waiting, u)
+		if u.job.started {
+			u.job.updateClaim()
+		}
 		if len(u.job.waiting) > 1 {
 			continue
 		}
-		position := sort.Search(len(q.jobs), func(k int) bool { return compareUrgency(now, q.jobs[k], u.job) > 0 })
+		position := sort.Search(len(q.jobs), func(k int) bool { return q.compare(now, q.jobs[k], u.job) > 0 })
 		q.jobs = slices.Insert(q.jobs, position, u.job)
 	}
 }
 
 // sort orders the jobs again, since more of them miss their objective as time passes.
 func (q *queue) sort(now time.Time) {
-	slices.SortStableFunc(q.jobs, func(a, b *pendingJob) int { return compareUrgency(now, a, b) })
+	slices.SortStableFunc(q.jobs, func(a, b *pendingJob) int { return q.compare(now, a, b) })
+}
+
+func (q *queue) compare(now time.Time, a, b *pendingJob) int {
+	if q.admitter != nil {
+		return q.admitter.policy.Compare(&a.claim, &b.claim)
+	}
+	return compareUrgency(now, a, b)
 }
 
 // compareUrgency orders jobs: first those that have started, as their results hold memory until the last piece is done,
@@ -207,8 +224,12 @@
 		delete(q.passedOverSince, j.Priority)
 	}
 	q.units -= len(j.waiting) - len(rest)
+	if q.admitter != nil {
+		count(q.admitter.got, o.now, j.claim.Kind, len(j.waiting)-len(rest))
+	}
 	clear(j.waiting[len(rest):])
 	j.waiting = rest
+	j.updateClaim()
 	return out
 }
 
