piece: setting overload_policy with least_cost

The dispatcher asks package admission when a job arrives that does not start at once, and at each tick. Refused jobs end with StageFailed, not run, and a delay for the caller; event 516 and a metric count them. The default, defer, is unchanged. TestOverloadPolicies: with least_cost a job without capacity in time is refused before its deadline, with defer it waits.

--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -18,6 +18,7 @@
 		{Name: "godwitplank_prompt_quarantines", Description: "Sets of prompt parts that are kept from endpoints.", Read: d.readQuarantines},
 		{Name: "godwitplank_vms_alive", Description: "VMs that are alive as this one knows, itself among them.", Read: d.readVMs},
 		{Name: "godwitplank_stage_queue_pieces", Description: "Pieces of a stage's service that wait here for an endpoint.", Read: d.readQueues},
+		{Name: "godwitplank_stage_jobs_refused", Description: "Jobs of a stage's service that this VM refused for lack of capacity in time, since the start.", Read: d.readRefusals},
 		{Name: "godwitplank_retry_budget_left", Description: "Calls of a service that this VM may still repeat now.", Read: d.readBudgets},
 		{Name: "godwitplank_log_lines_dropped", Description: "Log lines that the output did not take in time, since the start.", Read: d.readDropped},
 	}
@@ -85,6 +86,17 @@
 	return out
 }
 
+func (d *Daemon) readRefusals() []telemetry.Reading {
+	if d.routes == nil {
+		return nil
+	}
+	var out []telemetry.Reading
+	for service, n := range d.routes.dispatcher.RefusedJobs() {
+		out = append(out, telemetry.Reading{Value: float64(n), Labels: []string{"service", service}})
+	}
+	return out
+}
+
 func (d *Daemon) readBudgets() []telemetry.Reading {
 	v := d.control.View()
 	if d.routes == nil || v.Document == nil {
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -65,6 +65,7 @@
 	budget := &retry.Budget{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window}
 	reachability := &route.Reachability{}
 	dispatcher := piece.NewDispatcher(viewServices{c}, platform.PieceProtocol{}, pool, budget, reachability, timer.System, meter, log)
+	dispatcher.Overload = piece.OverloadPolicy(s.OverloadPolicy)
 	broker := piece.NewBroker(s.VM, c, dispatcher, timer.System, log)
 	return &routeServer{
 		dispatcher: dispatcher, broker: broker,
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -48,6 +48,7 @@
 	RetryRefused          = Event{513, log.WarnLevel, "request not sent again: the retry budget is spent", "request_id, service, attempts, budget_left, vms", "check event 506 for why the service's endpoints fail"}
 	PromptQuarantined     = Event{514, log.WarnLevel, "prompts quarantined: endpoints crashed while they ran", "parts, crashes, repeats, left_ms, decided_here", "find out why endpoints crash under these prompt parts (event 506 has the runs); callers get 503 until the quarantine ends"}
 	RequestQuarantined    = Event{515, log.WarnLevel, "request not sent: its prompt is quarantined", "request_id, parts, left_ms, attempts", "see event 514 of these parts"}
+	JobRefused            = Event{516, log.InfoLevel, "stage refused: no capacity in time", "request_id, service, stage, priority, pieces, held_ms, predicted_wait_ms, retry_after_ms, returned", "if it lasts, add endpoints of the service; predicted_wait_ms is -1 if no capacity is predicted"}
 	DocumentActivated     = Event{601, log.InfoLevel, "document activated", "document_version, digest", "nothing"}
 	DocumentRefused       = Event{602, log.InfoLevel, "document refused", "document_version, kind, message", "fix the document and submit it again"}
 )
@@ -59,6 +60,6 @@
 	VMAlive, VMLost, ConnectionReset,
 	EndpointAnnounced, EndpointDraining, EndpointLost, EndpointConflict, EndpointEjected, EndpointLeaves, EndpointQuiet, EndpointQuietEnded, EndpointNoticeIgnored, DepartureNotRecorded,
 	RequestRefused, AnswerDropped, OutcomeUnknown,
-	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, BatchFinished, StageFinished, ResultNotReleased, DispatcherFailed, RequestAccepted, RetryRefused, PromptQuarantined, RequestQuarantined,
+	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, BatchFinished, StageFinished, ResultNotReleased, DispatcherFailed, RequestAccepted, RetryRefused, PromptQuarantined, RequestQuarantined, JobRefused,
 	DocumentActivated, DocumentRefused,
 }
--- a/piece/dispatch.go
+++ b/piece/dispatch.go
@@ -28,6 +28,11 @@
 	now := d.Clock.Now()
 	for name, q := range d.queues {
 		q.expire(now)
+		if q.admitter != nil {
+			d.decide(now, name, q)
+			d.dispatch(name, q)
+			continue
+		}
 		q.sort(now)
 		d.dispatch(name, q)
 		q.refusePassedOver(now)
@@ -56,6 +61,7 @@
 		}
 		state.inFlight++
 		state.lastCall = now
+		state.callEnds = now.Add(time.Duration(state.slowdown * float64(PredictCallTime(s, len(units)))))
 		state.heldBytes += resultBytes(units)
 		d.group.Go(func() { d.call(s, c, state, units) })
 	}
--- a/piece/dispatcher.go
+++ b/piece/dispatcher.go
@@ -67,6 +67,8 @@
 	Clock    timer.Clock
 	Meter    *telemetry.Meter
 	Log      event.Logger
+	// Overload selects which jobs of an overloaded service are delayed or refused; empty for Defer.
+	Overload OverloadPolicy
 
 	mu           sync.Mutex
 	queues       map[string]*queue // by service
@@ -75,6 +77,7 @@
 	held         map[string]*heldResult      // by handle
 	flushSignal  chan struct{}
 	group        sync.WaitGroup
+	refusals     map[string]int // refused jobs by service, with LeastCost
 	// calls is the context of the calls to endpoints; endCalls ends it.
 	calls    context.Context
 	endCalls context.CancelFunc
@@ -102,7 +105,7 @@
 	return &Dispatcher{
 		Services: services, Protocol: protocol, Pool: pool, Budget: budget, Reach: reachability, Clock: clock, Meter: meter, Log: log,
 		queues: make(map[string]*queue), endpoints: make(map[connection.Key]*endpointState), pendingFrees: make(map[netip.AddrPort][]string),
-		held: make(map[string]*heldResult), flushSignal: make(chan struct{}, 1),
+		held: make(map[string]*heldResult), refusals: make(map[string]int), flushSignal: make(chan struct{}, 1),
 		calls: calls, endCalls: endCalls,
 	}
 }
@@ -172,11 +175,10 @@
 	d.mu.Lock()
 	q := d.queues[j.Service]
 	if q == nil {
-		q = &queue{}
+		q = d.newQueue()
 		d.queues[j.Service] = q
 	}
-	q.insert(now, p.units()...)
-	d.dispatch(j.Service, q)
+	d.enqueue(now, q, p)
 	d.mu.Unlock()
 	select {
 	case err := <-p.done:
--- a/piece/dispatcher_test.go
+++ b/piece/dispatcher_test.go
@@ -16,9 +16,11 @@
 
 	"github.com/matryer/is"
 
+	"godwitplank"
 	"godwitplank/connection"
 	"godwitplank/document"
 	"godwitplank/event"
+	"godwitplank/fault"
 	"godwitplank/retry"
 	"godwitplank/route"
 	"godwitplank/timer"
@@ -337,3 +339,37 @@
 		t.Error("Serve waits for the calls in flight")
 	}
 }
+
+// With LeastCost, a job that cannot be in time is refused before any of its pieces is sent, and the caller of a job that is
+// running keeps it. With Defer, as before, both wait.
+func TestOverloadPolicies(t *testing.T) {
+	for _, c := range []struct {
+		policy  OverloadPolicy
+		refused bool
+	}{{Defer, false}, {LeastCost, true}, {"", false}} {
+		t.Run(string(c.policy), func(t *testing.T) {
+			is := is.New(t)
+			e := newEndpoint(t, "a")
+			e.respond = func(http.ResponseWriter, int, []Item) bool { time.Sleep(100 * time.Millisecond); return false }
+			d := startDispatcher(t, 5, e)
+			d.Overload = c.policy
+			var group sync.WaitGroup
+			group.Go(func() {
+				_, err := d.Run(t.Context(), &Job{Service: "s", RequestID: "running", Pieces: 8, Due: time.Now().Add(time.Millisecond), Deadline: time.Now().Add(2 * time.Second)})
+				is.NoErr(err)
+			})
+			time.Sleep(30 * time.Millisecond)
+			started := time.Now()
+			_, err := d.Run(t.Context(), &Job{Service: "s", RequestID: "late", Pieces: 8, Due: started.Add(time.Millisecond), Deadline: started.Add(30 * time.Millisecond)})
+			is.True(err != nil)
+			is.Equal(errors.Is(err, ErrDeadline), !c.refused)
+			is.Equal(d.RefusedJobs()["s"] == 1, c.refused)
+			if c.refused {
+				is.True(fault.As(err).RetryAfterMS > 0)
+				is.Equal(fault.As(err).Outcome, godwitplank.NotRun)
+				is.True(time.Since(started) < 30*time.Millisecond)
+			}
+			group.Wait()
+		})
+	}
+}
--- a/piece/held.go
+++ b/piece/held.go
@@ -27,7 +27,7 @@
 // untrackResult no longer counts a result as memory of its endpoint.
 func (d *Dispatcher) untrackResult(handle string) {
 	if r := d.held[handle]; r != nil {
-		r.endpoint.heldBytes -= r.bytes
+		r.endpoint.release(d.Clock.Now(), r.bytes)
 		delete(d.held, handle)
 	}
 }
--- a/setting/policy.go
+++ b/setting/policy.go
@@ -17,3 +17,14 @@
 	s.Policy = value
 	return nil
 }
+
+// overloadPolicies are the names of the policies for overload, those of piece.OverloadPolicy.
+var overloadPolicies = []string{"defer", "least_cost"}
+
+func setOverloadPolicy(s *Settings, value string) error {
+	if !slices.Contains(overloadPolicies, value) {
+		return fmt.Errorf("%q is not a policy for overload; use one of %s", value, strings.Join(overloadPolicies, ", "))
+	}
+	s.OverloadPolicy = value
+	return nil
+}
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -40,6 +40,8 @@
 	// ProfileFile is a file for a CPU profile of the whole run.
 	ProfileFile string
 	Policy      string
+	// OverloadPolicy selects which stages are delayed or refused in an overload, see piece.OverloadPolicy.
+	OverloadPolicy string
 	// SettingsFile is a YAML file for settings that neither a flag nor an environment variable sets.
 	SettingsFile string
 	// RoutesAddr serves the requests of routes, ReadyAddr the load balancer's readiness probe, ControlAddr the
@@ -104,6 +106,7 @@
 	{"trace_file", "", "file to write traces to", func(s *Settings, v string) error { s.TraceFile = v; return nil }},
 	{"profile_file", "", "file to write a CPU profile of the whole run to; the VM's name is appended", func(s *Settings, v string) error { s.ProfileFile = v; return nil }},
 	{"policy", "predicted", "load balancing policy: predicted, least_in_flight, round_robin or random", setPolicy},
+	{"overload_policy", "defer", "which stages wait or are refused in an overload: defer or least_cost", setOverloadPolicy},
 	{"capacity", "0", "CPU capacity of this VM, in cores; the VMs with the highest share dispatch pieces for the others", func(s *Settings, v string) error { return setNumber(&s.Capacity, v) }},
 	{"memory_mb", "0", "memory that the process may use, in MB; 0 for no limit", func(s *Settings, v string) error { return setCount(&s.MemoryMB, v) }},
 	{"stop_grace", "0s", "maximum time from a signal to the exit of the process; 0s to derive it from the longest deadline", func(s *Settings, v string) error { return setDuration(&s.StopGrace, v) }},
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -49,7 +49,7 @@
 	is := is.New(t)
 	_, err := read(t,
 		"--vm", "a b", "--callers_addr", "nowhere", "--join", "127.0.0.1:0", "--log_level", "loud",
-		"--operator_token_file", tokenFile(t, "short"), "--policy", "best", "--discover", "perhaps")
+		"--operator_token_file", tokenFile(t, "short"), "--policy", "best", "--overload_policy", "refuse", "--discover", "perhaps")
 	for _, want := range []string{
 		`--vm (or GODWITPLANK_VM): "a b" is not a valid name`,
 		`--data_centre (or GODWITPLANK_DATA_CENTRE): "" is not a valid name`,
@@ -57,6 +57,7 @@
 		`--join (or GODWITPLANK_JOIN): "127.0.0.1:0" has port 0`,
 		`--log_level (or GODWITPLANK_LOG_LEVEL): "loud" is not a log level; use debug`,
 		`--operator_token_file (or GODWITPLANK_OPERATOR_TOKEN_FILE): the token has fewer than 16 characters`,
+		`--overload_policy (or GODWITPLANK_OVERLOAD_POLICY): "refuse" is not a policy for overload; use one of defer, least_cost`,
 		`--policy (or GODWITPLANK_POLICY): "best" is not a policy; use one of least_in_flight, predicted`,
 		`--discover (or GODWITPLANK_DISCOVER): "perhaps" is not a valid boolean`,
 	} {
