gateway: count the objective of returning callers from their first attempt, with least_cost

A caller that returns after a refusal sends less remaining time than a first attempt of its route. It competed as if it were new. The longest remaining time of the route in about the last minute, at most its timeout, tells how long it has waited; its due time is corrected and the stage is marked as returned, also to other VMs (RunPiecesRequest.returned).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,8 +48,11 @@
 	Clock timer.Clock
 	Meter *telemetry.Meter
 	Log   event.Logger
+	// Overload is the policy for overload of this VM's Dispatcher.
+	Overload piece.OverloadPolicy
 
 	inFlight atomic.Int64
+	waited   waitedEstimator
 	delays   delayEstimator
 	runs     runEstimator
 }
@@ -66,8 +69,10 @@
 	w        http.ResponseWriter
 	received time.Time
 	deadline time.Time
-	// due is when the route's latency objective ends, never later than deadline.
+	// due is when the route's latency objective ends, never later than deadline. With LeastCost, it counts from the
+	// caller's first attempt as far as that is known, and returned is true if this is not the first.
 	due       time.Time
+	returned  bool
 	view      *control.View
 	route     *document.Route
 	service   *document.Service
@@ -145,7 +150,7 @@
 	}
 	x.due = x.deadline
 	if x.route.TargetLatencyMS > 0 {
-		x.due = timer.Earlier(x.deadline, x.received.Add(x.route.TargetLatency()))
+		x.due = timer.Earlier(x.deadline, x.received.Add(x.route.TargetLatency()-g.waitedFor(x)))
 	}
 	g.Budget.CountRequest(x.received, x.service.Name)
 	g.Log.Log(event.RequestAccepted, "request_id", x.ID, "route", x.route.Name, "workspace", x.workspace,
@@ -153,6 +158,16 @@
 	return nil
 }
 
+// waitedFor returns how long the caller has been waiting already, 0 unless the policy is LeastCost.
+func (g *Gateway) waitedFor(x *exchange) time.Duration {
+	if g.Overload != piece.LeastCost {
+		return 0
+	}
+	waited := g.waited.observe(x.received, x.route.Name, x.Remaining, x.route.Timeout())
+	x.returned = waited > 0
+	return waited
+}
+
 // authenticate sets the workspace of the request's key and applies its priority. Public routes and documents without
 // workspaces need no key.
 func (x *exchange) authenticate(d *document.Document) error {
--- a/gateway/stage.go
+++ b/gateway/stage.go
@@ -97,6 +97,7 @@
 		Service: s.Service, RequestID: x.ID, Stage: i, Pieces: x.Pieces[i], Inputs: inputs,
 		Due: x.due.Add(-g.remainingDuration(x, i)), Deadline: x.deadline, Priority: x.priority,
 		DataCentre: g.stageDataCentre(x, run, i), ResultBytes: s.ResultBytes, InputsHoldMemory: inputsAreLarge(x, s),
+		Returned: x.returned,
 	}
 	if len(s.After) == 0 {
 		job.Key = x.PieceKey
--- a/piece/broker.go
+++ b/piece/broker.go
@@ -145,7 +145,7 @@
 	reply, err := client.RunPieces(ctx, &link.RunPiecesRequest{
 		Service: j.Service, RequestId: j.RequestID, Stage: int32(j.Stage), Pieces: int32(j.Pieces), Key: j.Key, Inputs: j.Inputs,
 		RemainingMs: j.Deadline.Sub(now).Milliseconds(), DueMs: j.Due.Sub(now).Milliseconds(), Priority: int32(j.Priority),
-		DataCentre: j.DataCentre, ResultBytes: j.ResultBytes, Holding: j.InputsHoldMemory,
+		DataCentre: j.DataCentre, ResultBytes: j.ResultBytes, Holding: j.InputsHoldMemory, Returned: j.Returned,
 	})
 	switch {
 	case err != nil:
@@ -257,6 +257,7 @@
 		Service: r.Service, RequestID: r.RequestId, Stage: int(r.Stage), Pieces: int(r.Pieces), Key: r.Key, Inputs: r.Inputs,
 		Due: now.Add(time.Duration(r.DueMs) * time.Millisecond), Deadline: now.Add(time.Duration(r.RemainingMs) * time.Millisecond),
 		Priority: int(r.Priority), DataCentre: r.DataCentre, ResultBytes: r.ResultBytes, InputsHoldMemory: r.Holding,
+		Returned: r.Returned,
 	})
 	switch {
 	case errors.Is(err, ErrMoved):
