gateway: refuse a request before its first stage if a later one has no capacity in time

With results of early stages, a request that cannot pass a full later stage takes memory for nothing. The reply of RunPieces carries the predicted wait of the service by priority; the VM that takes a request in uses it for 2 s, for the due times of earlier stages and, with least_cost, to refuse before the first stage (event 517, metric godwitplank_requests_not_started). Without a forecast, as from VMs of the previous build, the request starts.

--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -19,6 +19,7 @@
 		{Name: "godwitplank_vms_alive", Description: "VMs that are alive as this one knows, itself among them.", Read: d.readVMs},
 		{Name: "godwitplank_stage_queue_pieces", Description: "Pieces of a stage's service that wait here for an endpoint.", Read: d.readQueues},
 		{Name: "godwitplank_stage_jobs_refused", Description: "Jobs of a stage's service that this VM refused for lack of capacity in time, since the start.", Read: d.readRefusals},
+		{Name: "godwitplank_requests_not_started", Description: "Requests that this VM refused before their first stage since a later one had no capacity in time, since the start.", Read: d.readNotStarted},
 		{Name: "godwitplank_retry_budget_left", Description: "Calls of a service that this VM may still repeat now.", Read: d.readBudgets},
 		{Name: "godwitplank_log_lines_dropped", Description: "Log lines that the output did not take in time, since the start.", Read: d.readDropped},
 	}
@@ -97,6 +98,13 @@
 	return out
 }
 
+func (d *Daemon) readNotStarted() []telemetry.Reading {
+	if d.routes == nil {
+		return nil
+	}
+	return singleReading(float64(d.routes.gateway.RefusedEarly()))
+}
+
 func (d *Daemon) readBudgets() []telemetry.Reading {
 	v := d.control.View()
 	if d.routes == nil || v.Document == nil {
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -73,7 +73,7 @@
 			DataCentre: s.DataCentre, Views: c, Protocol: platform.RequestProtocol{}, Pieces: broker, ResultAddr: platform.PieceProtocol{}.HolderAddr,
 			Policy:   route.Policies[s.Policy](),
 			Prefixes: &route.PrefixIndex{}, Reach: reachability, Crashes: c.Crashes, Budget: budget, Pool: pool, Stop: schedule, Clock: timer.System, Meter: meter, Log: log,
-			Overload: dispatcher.Overload,
+			Overload: dispatcher.Overload, Forecasts: broker,
 		},
 	}
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -49,6 +49,7 @@
 	PromptQuarantined     = Event{514, log.WarnLevel, "prompts quarantined: endpoints crashed while they ran", "parts, crashes, repeats, left_ms, decided_here", "find out why endpoints crash under these prompt parts (event 506 has the runs); callers get 503 until the quarantine ends"}
 	RequestQuarantined    = Event{515, log.WarnLevel, "request not sent: its prompt is quarantined", "request_id, parts, left_ms, attempts", "see event 514 of these parts"}
 	JobRefused            = Event{516, log.InfoLevel, "stage refused: no capacity in time", "request_id, service, stage, priority, pieces, held_ms, predicted_wait_ms, retry_after_ms, returned", "if it lasts, add endpoints of the service; predicted_wait_ms is -1 if no capacity is predicted"}
+	RequestNotStarted     = Event{517, log.InfoLevel, "request not started: a later stage has no capacity in time", "request_id, route, priority, due_ms, needed_ms, wait_ms, retry_after_ms, returned", "if it lasts, add endpoints of the service of the stage with the longest wait, see event 516"}
 	DocumentActivated     = Event{601, log.InfoLevel, "document activated", "document_version, digest", "nothing"}
 	DocumentRefused       = Event{602, log.InfoLevel, "document refused", "document_version, kind, message", "fix the document and submit it again"}
 )
@@ -60,6 +61,6 @@
 	VMAlive, VMLost, ConnectionReset,
 	EndpointAnnounced, EndpointDraining, EndpointLost, EndpointConflict, EndpointEjected, EndpointLeaves, EndpointQuiet, EndpointQuietEnded, EndpointNoticeIgnored, DepartureNotRecorded,
 	RequestRefused, AnswerDropped, OutcomeUnknown,
-	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, BatchFinished, StageFinished, ResultNotReleased, DispatcherFailed, RequestAccepted, RetryRefused, PromptQuarantined, RequestQuarantined, JobRefused,
+	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, BatchFinished, StageFinished, ResultNotReleased, DispatcherFailed, RequestAccepted, RetryRefused, PromptQuarantined, RequestQuarantined, JobRefused, RequestNotStarted,
 	DocumentActivated, DocumentRefused,
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"godwitplank"
+	"godwitplank/admission"
 	"godwitplank/connection"
 	"godwitplank/control"
 	"godwitplank/crash"
@@ -50,11 +51,15 @@
 	Log   event.Logger
 	// Overload is the policy for overload of this VM's Dispatcher.
 	Overload piece.OverloadPolicy
+	// Forecasts gives the predicted waits at stages, used with LeastCost; nil for none.
+	Forecasts Forecasts
 
-	inFlight atomic.Int64
-	waited   waitedEstimator
-	delays   delayEstimator
-	runs     runEstimator
+	inFlight     atomic.Int64
+	refusedEarly atomic.Int64
+	waited       waitedEstimator
+	gate         admission.Gate
+	delays       delayEstimator
+	runs         runEstimator
 }
 
 // defaultMaxBodyBytes is the request body limit if the document sets none.
@@ -208,6 +213,9 @@
 	if g.endsAfterStop(x) {
 		return stoppingFault(x)
 	}
+	if err := g.checkCapacity(x); err != nil {
+		return err
+	}
 	if err := g.runStagesBeforeStop(ctx, x); err != nil {
 		return err
 	}
--- a/gateway/stage.go
+++ b/gateway/stage.go
@@ -172,7 +172,7 @@
 	longest := time.Duration(0)
 	for j, s := range x.route.Stages {
 		if slices.Contains(s.After, i) && j < len(x.Pieces) && x.Pieces[j] > 0 {
-			longest = max(longest, g.predictedDuration(x, j)+g.delays.estimate(s.Service)+g.remainingDuration(x, j))
+			longest = max(longest, g.predictedDuration(x, j)+g.stageDelay(x, s.Service)+g.remainingDuration(x, j))
 		}
 	}
 	if longest > 0 {
--- a/piece/broker.go
+++ b/piece/broker.go
@@ -53,6 +53,7 @@
 	suspects     map[string]time.Time // by VM, until when it is sent no jobs
 	pendingFrees map[string][]string  // handles by service
 	flushSignal  chan struct{}
+	forecasts    forecastStore
 	// lastOwned is when this VM last owned each service. Only Serve uses it.
 	lastOwned map[string]time.Time
 	group     sync.WaitGroup
@@ -147,6 +148,9 @@
 		RemainingMs: j.Deadline.Sub(now).Milliseconds(), DueMs: j.Due.Sub(now).Milliseconds(), Priority: int32(j.Priority),
 		DataCentre: j.DataCentre, ResultBytes: j.ResultBytes, Holding: j.InputsHoldMemory, Returned: j.Returned,
 	})
+	if err == nil {
+		b.forecasts.put(b.Clock.Now(), j.Service, reply.Forecast)
+	}
 	switch {
 	case err != nil:
 		return nil, err
@@ -263,15 +267,15 @@
 	case errors.Is(err, ErrMoved):
 		return nil, status.Error(codes.FailedPrecondition, err.Error())
 	case errors.Is(err, ErrInputsGone):
-		return &link.RunPiecesReply{InputsGone: true}, nil
+		return &link.RunPiecesReply{InputsGone: true, Forecast: b.Dispatcher.encodeForecast(r.Service)}, nil
 	case err != nil:
-		reply := &link.RunPiecesReply{Refused: err.Error()}
+		reply := &link.RunPiecesReply{Refused: err.Error(), Forecast: b.Dispatcher.encodeForecast(r.Service)}
 		if fault.Is(err) {
 			reply.RetryAfterMs = fault.As(err).RetryAfterMS
 		}
 		return reply, nil
 	}
-	return &link.RunPiecesReply{Handles: handles}, nil
+	return &link.RunPiecesReply{Handles: handles, Forecast: b.Dispatcher.encodeForecast(r.Service)}, nil
 }
 
 // FreePieces frees results for another VM.
