--- a/admission/admission.go
+++ b/admission/admission.go
@@ -123,9 +123,9 @@
 	refusals uint64
 }
 
-// minShare is the fraction of the average share of the demand served that each kind gets. The requirement is a
-// quarter; the margin covers the time in which a kind below it is noticed.
-const minShare = 0.3
+// minShare is the fraction of the average share of the demand served that each kind gets, as required. With 0.3 no kind got
+// less either in the plays of TestAdmissionTable, but in two more of them a higher priority was served less often.
+const minShare = 0.25
 
 // Compare orders jobs: first those that have started, as their results hold memory until the last piece is done, then
 // those that can meet their objective or whose inputs hold memory, by priority, and the late ones last.
