--- a/admission/decide_test.go
+++ b/admission/decide_test.go
@@ -87,3 +87,20 @@
 		}
 	})
 }
+
+// BenchmarkArrive measures the cost of a job that arrives at a queue of 500: at a fleet's size a service gets up to a
+// thousand a second.
+func BenchmarkArrive(b *testing.B) {
+	var p Policy
+	r := room()
+	r.PiecesPerSecond = 10000
+	r.Shares = map[Kind]Share{KindOf(0, 5): {Asked: 100, Got: 100}, KindOf(1, 5): {Asked: 100, Got: 90}, KindOf(2, 5): {Asked: 100, Got: 80}}
+	var queued []*Claim
+	for i := range 500 {
+		queued = append(queued, claim(i%3, 5, time.Duration(i)*5*time.Millisecond))
+	}
+	slices.SortFunc(queued, p.Compare)
+	for b.Loop() {
+		p.Arrive(now, r, slices.Values(queued), claim(1, 5, time.Second))
+	}
+}
