--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -26,6 +26,8 @@
 		{Name: "godwitplank_evacuated_data_centres", Description: "Data centres that are evacuated as this VM knows.", Read: d.readEvacuated},
 		{Name: "godwitplank_vms_alive", Description: "VMs that are alive as this one knows, itself among them.", Read: d.readVMs},
 		{Name: "godwitplank_stage_queue_pieces", Description: "Pieces of a stage's service that wait here for an endpoint.", Read: d.readQueues},
+		{Name: "godwitplank_stage_jobs_refused", Description: "Jobs of a stage's service that this VM refused for lack of capacity in time, since the start.", Read: d.readRefusals},
+		{Name: "godwitplank_requests_not_started", Description: "Requests that this VM refused before their first stage since a later one had no capacity in time, since the start.", Read: d.readNotStarted},
 		{Name: "godwitplank_retry_budget_left", Description: "Calls of a service that this VM may still repeat now.", Read: d.readBudgets},
 		{Name: "godwitplank_disk_full", Description: "1 while the disk of the data folder refuses writes for a lack of space.", Read: d.readDiskFull},
 		{Name: "godwitplank_caller_bytes", Description: "Bytes that are charged for callers, and the budget.", Read: d.readCallerBytes},
@@ -101,6 +103,24 @@
 	return out
 }
 
+func (d *Daemon) readRefusals() []telemetry.Reading {
+	if d.routes == nil {
+		return nil
+	}
+	var out []telemetry.Reading
+	for service, n := range d.routes.dispatcher.RefusedJobs() {
+		out = append(out, telemetry.Reading{Value: float64(n), Labels: []string{"service", service}})
+	}
+	return out
+}
+
+func (d *Daemon) readNotStarted() []telemetry.Reading {
+	if d.routes == nil {
+		return nil
+	}
+	return singleReading(float64(d.routes.gateway.RefusedEarly()))
+}
+
 func (d *Daemon) readBudgets() []telemetry.Reading {
 	v := d.control.View()
 	if d.routes == nil || v.Document == nil {
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -81,6 +81,7 @@
 	budget := &retry.Budget{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window}
 	reachability := &route.Reachability{}
 	dispatcher := piece.NewDispatcher(viewServices{c}, platform.PieceProtocol{}, pool, budget, reachability, timer.System, meter, log)
+	dispatcher.Overload = piece.OverloadPolicy(s.OverloadPolicy)
 	broker := piece.NewBroker(s.VM, c, dispatcher, timer.System, log)
 	placements := placement.NewBroker(s.VM, s.PlacementObjective, c, viewServices{c}, reachability, timer.System, meter, log)
 	return &routeServer{
@@ -89,6 +90,7 @@
 			DataCentre: s.DataCentre, Views: c, Protocol: platform.RequestProtocol{}, Pieces: broker, ResultAddr: platform.PieceProtocol{}.HolderAddr,
 			Policy:   route.Policies[s.Policy](),
 			Prefixes: &route.PrefixIndex{}, Reach: reachability, Crashes: c.Crashes, Budget: budget, Pool: pool, Placements: placements, Stop: schedule, Clock: timer.System, Meter: meter, Log: log,
+			Overload: dispatcher.Overload, Forecasts: broker,
 		},
 	}
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -55,6 +55,8 @@
 	RequestQuarantined    = Event{515, log.WarnLevel, "request not sent: its prompt is quarantined", "request_id, parts, left_ms, attempts", "see event 514 of these parts"}
 	CallersBounded        = Event{516, log.WarnLevel, "connections of callers refused or closed", "cause, refused, yielded, heads, no_memory, body_timeouts, write_timeouts", "at most one line a second; see Untrusted callers in docs/OPERATIONS.md"}
 	PlacementFailed       = Event{517, log.WarnLevel, "placement of a prompt by another VM failed", "request_id, service, peer, error", "nothing: this VM selected the endpoint; if it repeats, check whether the VM or the link to it failed"}
+	JobRefused            = Event{518, log.InfoLevel, "stage refused: no capacity in time", "request_id, service, stage, priority, pieces, held_ms, predicted_wait_ms, retry_after_ms, returned", "if it lasts, add endpoints of the service; predicted_wait_ms is -1 if no capacity is predicted"}
+	RequestNotStarted     = Event{519, log.InfoLevel, "request not started: a later stage has no capacity in time", "request_id, route, priority, due_ms, needed_ms, wait_ms, retry_after_ms, returned", "if it lasts, add endpoints of the service of the stage with the longest wait, see event 518"}
 	DocumentActivated     = Event{601, log.InfoLevel, "document activated", "document_version, digest", "nothing"}
 	DocumentRefused       = Event{602, log.InfoLevel, "document refused", "document_version, kind, message", "fix the document and submit it again"}
 	EvacuationStarted     = Event{701, log.InfoLevel, "evacuation of a data centre in effect", "data_centre, version", "nothing; end the evacuation when the data centre may get work again"}
@@ -71,7 +73,7 @@
 	EndpointAnnounced, EndpointDraining, EndpointLost, EndpointConflict, EndpointEjected, EndpointLeaves, EndpointQuiet, EndpointQuietEnded, EndpointNoticeIgnored, DepartureNotRecorded,
 	EndpointCold, EndpointWarm,
 	RequestRefused, AnswerDropped, OutcomeUnknown,
-	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, BatchFinished, StageFinished, ResultNotReleased, DispatcherFailed, RequestAccepted, RetryRefused, PromptQuarantined, RequestQuarantined, CallersBounded, PlacementFailed,
+	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, BatchFinished, StageFinished, ResultNotReleased, DispatcherFailed, RequestAccepted, RetryRefused, PromptQuarantined, RequestQuarantined, CallersBounded, PlacementFailed, JobRefused, RequestNotStarted,
 	DocumentActivated, DocumentRefused,
 	EvacuationStarted, EvacuationEnded, EvacuationRefused,
 }
--- a/gateway/stage.go
+++ b/gateway/stage.go
@@ -97,6 +97,7 @@
 		Service: s.Service, RequestID: x.ID, Stage: i, Pieces: x.Pieces[i], Inputs: inputs,
 		Due: x.due.Add(-g.remainingDuration(x, i)), Deadline: x.deadline, Priority: x.priority,
 		DataCentre: g.stageDataCentre(x, run, i), ResultBytes: s.ResultBytes, InputsHoldMemory: inputsAreLarge(x, s),
+		Returned: x.returned,
 	}
 	if len(s.After) == 0 {
 		job.Key = x.PieceKey
@@ -171,7 +172,7 @@
 	longest := time.Duration(0)
 	for j, s := range x.route.Stages {
 		if slices.Contains(s.After, i) && j < len(x.Pieces) && x.Pieces[j] > 0 {
-			longest = max(longest, g.predictedDuration(x, j)+g.delays.estimate(s.Service)+g.remainingDuration(x, j))
+			longest = max(longest, g.predictedDuration(x, j)+g.stageDelay(x, s.Service)+g.remainingDuration(x, j))
 		}
 	}
 	if longest > 0 {
--- a/piece/broker.go
+++ b/piece/broker.go
@@ -53,6 +53,7 @@
 	suspects     map[string]time.Time // by VM, until when it is sent no jobs
 	pendingFrees map[string][]string  // handles by service
 	flushSignal  chan struct{}
+	forecasts    forecastStore
 	// lastOwned is when this VM last owned each service. Only Serve uses it.
 	lastOwned map[string]time.Time
 	group     sync.WaitGroup
@@ -145,8 +146,11 @@
 	reply, err := client.RunPieces(ctx, &link.RunPiecesRequest{
 		Service: j.Service, RequestId: j.RequestID, Stage: int32(j.Stage), Pieces: int32(j.Pieces), Key: j.Key, Inputs: j.Inputs,
 		RemainingMs: j.Deadline.Sub(now).Milliseconds(), DueMs: j.Due.Sub(now).Milliseconds(), Priority: int32(j.Priority),
-		DataCentre: j.DataCentre, ResultBytes: j.ResultBytes, Holding: j.InputsHoldMemory,
+		DataCentre: j.DataCentre, ResultBytes: j.ResultBytes, Holding: j.InputsHoldMemory, Returned: j.Returned,
 	})
+	if err == nil {
+		b.forecasts.put(b.Clock.Now(), j.Service, reply.Forecast)
+	}
 	switch {
 	case err != nil:
 		return nil, err
@@ -257,20 +261,21 @@
 		Service: r.Service, RequestID: r.RequestId, Stage: int(r.Stage), Pieces: int(r.Pieces), Key: r.Key, Inputs: r.Inputs,
 		Due: now.Add(time.Duration(r.DueMs) * time.Millisecond), Deadline: now.Add(time.Duration(r.RemainingMs) * time.Millisecond),
 		Priority: int(r.Priority), DataCentre: r.DataCentre, ResultBytes: r.ResultBytes, InputsHoldMemory: r.Holding,
+		Returned: r.Returned,
 	})
 	switch {
 	case errors.Is(err, ErrMoved):
 		return nil, status.Error(codes.FailedPrecondition, err.Error())
 	case errors.Is(err, ErrInputsGone):
-		return &link.RunPiecesReply{InputsGone: true}, nil
+		return &link.RunPiecesReply{InputsGone: true, Forecast: b.Dispatcher.encodeForecast(r.Service)}, nil
 	case err != nil:
-		reply := &link.RunPiecesReply{Refused: err.Error()}
+		reply := &link.RunPiecesReply{Refused: err.Error(), Forecast: b.Dispatcher.encodeForecast(r.Service)}
 		if fault.Is(err) {
 			reply.RetryAfterMs = fault.As(err).RetryAfterMS
 		}
 		return reply, nil
 	}
-	return &link.RunPiecesReply{Handles: handles}, nil
+	return &link.RunPiecesReply{Handles: handles, Forecast: b.Dispatcher.encodeForecast(r.Service)}, nil
 }
 
 // FreePieces frees results for another VM.
