piece, gateway: overload policy refuse_late, for the services of tight routes

Change: late jobs that no endpoint takes are refused 0.4 s after they have missed their objective, in the order of defer; a returning caller's objective counts from its first attempt. The setting tight_objective replaces placement_objective and bounds both. The weight of interruptions is 1.

--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -83,14 +83,16 @@
 	dispatcher := piece.NewDispatcher(viewServices{c}, platform.PieceProtocol{}, pool, budget, reachability, timer.System, meter, log)
 	dispatcher.Overload = piece.OverloadPolicy(s.OverloadPolicy)
 	broker := piece.NewBroker(s.VM, c, dispatcher, timer.System, log)
-	placements := placement.NewBroker(s.VM, s.PlacementObjective, c, viewServices{c}, reachability, timer.System, meter, log)
+	tight := &document.TightServices{Limit: s.TightObjective}
+	dispatcher.Tight = func(service string) bool { return tight.Contains(c.View().Document, service) }
+	placements := placement.NewBroker(s.VM, tight, c, viewServices{c}, reachability, timer.System, meter, log)
 	return &routeServer{
 		dispatcher: dispatcher, broker: broker, placements: placements,
 		gateway: &gateway.Gateway{
 			DataCentre: s.DataCentre, Views: c, Protocol: platform.RequestProtocol{}, Pieces: broker, ResultAddr: platform.PieceProtocol{}.HolderAddr,
 			Policy:   route.Policies[s.Policy](),
 			Prefixes: &route.PrefixIndex{}, Reach: reachability, Crashes: c.Crashes, Budget: budget, Pool: pool, Placements: placements, Stop: schedule, Clock: timer.System, Meter: meter, Log: log,
-			Overload: dispatcher.Overload, Forecasts: broker,
+			Overload: dispatcher.Overload, Tight: tight, Forecasts: broker,
 		},
 	}
 }
--- a/document/route_test.go
+++ b/document/route_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -91,3 +92,21 @@
 	}
 	is.New(t).NoErr(documentWithRoutes().Check())
 }
+
+// Deployments without a tight objective, or without the setting, must be served as before.
+func TestTightServices(t *testing.T) {
+	is := is.New(t)
+	d := documentWithRoutes()
+	d.Routes[0].TargetLatencyMS, d.Routes[1].TargetLatencyMS = 700, 2000
+	d.Routes[0].Stages = []RouteStage{{Service: "t"}}
+	tight := TightServices{Limit: time.Second}
+	is.True(tight.Contains(d, "s"))
+	is.True(tight.Contains(d, "t"))
+	is.True(!tight.Contains(d, "unknown"))
+	is.True(!tight.Contains(nil, "s"))
+	looser := documentWithRoutes()
+	looser.Routes[0].TargetLatencyMS = 1001
+	is.True(!tight.Contains(looser, "s")) // a new document replaces the set
+	is.True(!(&TightServices{}).Contains(d, "s"))
+	is.True(!(*TightServices)(nil).Contains(d, "s"))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -56,6 +57,8 @@
 	Log   event.Logger
 	// Overload is the policy for overload of this VM's Dispatcher.
 	Overload piece.OverloadPolicy
+	// Tight holds the services to which piece.RefuseLate applies; nil for none.
+	Tight *document.TightServices
 	// Forecasts gives the predicted waits at stages, used with LeastCost; nil for none.
 	Forecasts Forecasts
 
@@ -191,9 +194,15 @@
 	return nil
 }
 
-// waitedFor returns how long the caller has been waiting already, 0 unless the policy is LeastCost.
+// waitedFor returns how long the caller has been waiting already, 0 if the policy does not count that.
 func (g *Gateway) waitedFor(x *exchange) time.Duration {
-	if g.Overload != piece.LeastCost {
+	switch g.Overload {
+	case piece.LeastCost:
+	case piece.RefuseLate:
+		if !slices.ContainsFunc(x.route.Stages, func(s document.RouteStage) bool { return g.Tight.Contains(x.view.Document, s.Service) }) {
+			return 0
+		}
+	default:
 		return 0
 	}
 	waited := g.waited.observe(x.received, x.route.Name, x.Remaining, x.route.Timeout())
--- a/piece/dispatch.go
+++ b/piece/dispatch.go
@@ -38,6 +38,9 @@
 		}
 		q.sort(now)
 		d.dispatch(name, q)
+		if d.Overload == RefuseLate && d.Tight != nil && d.Tight(name) {
+			d.refuseLate(now, q)
+		}
 		q.refusePassedOver(now)
 	}
 }
--- a/piece/dispatcher.go
+++ b/piece/dispatcher.go
@@ -73,6 +73,8 @@
 	Log      event.Logger
 	// Overload selects which jobs of an overloaded service are delayed or refused; empty for Defer.
 	Overload OverloadPolicy
+	// Tight reports whether RefuseLate applies to a service; nil for none.
+	Tight func(service string) bool
 
 	mu           sync.Mutex
 	queues       map[string]*queue // by service
--- a/piece/dispatcher_test.go
+++ b/piece/dispatcher_test.go
@@ -352,7 +352,12 @@
 		t.Run(string(c.policy), func(t *testing.T) {
 			is := is.New(t)
 			e := newEndpoint(t, "a")
-			e.respond = func(http.ResponseWriter, int, []Item) bool { time.Sleep(100 * time.Millisecond); return false }
+			called := make(chan struct{}, 2)
+			e.respond = func(http.ResponseWriter, int, []Item) bool {
+				called <- struct{}{}
+				time.Sleep(100 * time.Millisecond)
+				return false
+			}
 			d := startDispatcher(t, 5, e)
 			d.Overload = c.policy
 			var group sync.WaitGroup
@@ -360,7 +365,7 @@
 				_, err := d.Run(t.Context(), &Job{Service: "s", RequestID: "running", Pieces: 8, Due: time.Now().Add(time.Millisecond), Deadline: time.Now().Add(2 * time.Second)})
 				is.NoErr(err)
 			})
-			time.Sleep(30 * time.Millisecond)
+			<-called // on a busy machine the call began after a fixed wait
 			started := time.Now()
 			_, err := d.Run(t.Context(), &Job{Service: "s", RequestID: "late", Pieces: 8, Due: started.Add(time.Millisecond), Deadline: started.Add(30 * time.Millisecond)})
 			is.True(err != nil)
--- a/piece/overload.go
+++ b/piece/overload.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"godwitplank"
+	"godwitplank/admission"
 	"godwitplank/fault"
 )
 
@@ -52,7 +53,31 @@
 
 // errOverloaded returns the error of a job that is refused in an overload.
 func errOverloaded() error {
-	retryAfter := minOverloadRetry + rand.N(maxOverloadRetry-minOverloadRetry)
 	return fault.New(fault.StageFailed, "the endpoints of the stage's service are overloaded and newer requests go first; try again after the indicated delay").
-		WithOutcome(godwitplank.NotRun, retryAfter)
+		WithOutcome(godwitplank.NotRun, overloadRetryAfter())
+}
+
+const (
+	// lateGrace is how long after a job has missed its objective it may still start with RefuseLate, since calls end at any time.
+	lateGrace = 400 * time.Millisecond
+	// minLateWait is how long a job that is late on arrival waits for an endpoint before it is refused: about a dispatch interval or two.
+	minLateWait = 100 * time.Millisecond
+)
+
+// refuseLate refuses the jobs that no endpoint took and that have missed their objective. It answers waves of more demand than
+// capacity: a job that waits behind them rarely starts before its caller gives up, and a caller that was held until then
+// loses more than one that was refused early.
+func (d *Dispatcher) refuseLate(now time.Time, q *queue) {
+	for _, p := range q.jobs {
+		if p.started || p.ended || p.InputsHoldMemory || now.Sub(p.queuedAt) < minLateWait || now.Add(p.predicted).Sub(p.Due) < lateGrace {
+			continue
+		}
+		p.refuse(admission.Decision{Verdict: admission.Refuse, Wait: admission.Never, RetryAfter: overloadRetryAfter()})
+		d.recordRefusal(now, p)
+	}
+}
+
+// overloadRetryAfter returns a time after which the caller of a refused job should return.
+func overloadRetryAfter() time.Duration {
+	return minOverloadRetry + rand.N(maxOverloadRetry-minOverloadRetry)
 }
--- a/piece/overload_policy.go
+++ b/piece/overload_policy.go
@@ -16,6 +16,9 @@
 const (
 	// Defer runs late jobs last and refuses them once newer ones have taken all capacity for passedOverLimit.
 	Defer OverloadPolicy = "defer"
+	// RefuseLate orders jobs as Defer does, and refuses late ones that no endpoint takes at once, at the services for which
+	// Dispatcher.Tight returns true.
+	RefuseLate OverloadPolicy = "refuse_late"
 	// LeastCost refuses jobs as soon as no capacity in time is predicted for them, see package admission.
 	LeastCost OverloadPolicy = "least_cost"
 )
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -48,24 +48,20 @@
 // caller of Place selects by itself, and the next VM becomes the owner.
 type Broker struct {
 	VM string
-	// Objective is the latency objective up to which routes call for it; 0 for none. With a longer one, a prompt may wait for
-	// others that its VM does not know.
-	Objective time.Duration
-	Links     Links
-	Services  Services
-	Reach     *route.Reachability
-	Clock     timer.Clock
-	Meter     *telemetry.Meter
-	Log       event.Logger
+	// Tight holds the services of routes whose objective calls for it. With a longer objective, a prompt may wait for others
+	// that its VM does not know.
+	Tight    *document.TightServices
+	Links    Links
+	Services Services
+	Reach    *route.Reachability
+	Clock    timer.Clock
+	Meter    *telemetry.Meter
+	Log      event.Logger
 
-	mu       sync.Mutex
-	trackers map[string]*Tracker                   // by service
-	suspects map[string]time.Time                  // by VM, until when it is asked for no placement
-	reports  map[reportTarget][]*link.PromptReport // waiting to be sent, with the time of the event in age_us
-	eligible struct {
-		document *document.Document
-		services map[string]bool
-	}
+	mu          sync.Mutex
+	trackers    map[string]*Tracker                   // by service
+	suspects    map[string]time.Time                  // by VM, until when it is asked for no placement
+	reports     map[reportTarget][]*link.PromptReport // waiting to be sent, with the time of the event in age_us
 	flushSignal chan struct{}
 	group       sync.WaitGroup
 }
@@ -75,9 +71,9 @@
 }
 
 // NewBroker returns the broker of a VM.
-func NewBroker(vm string, objective time.Duration, links Links, services Services, reach *route.Reachability, clock timer.Clock, meter *telemetry.Meter, log event.Logger) *Broker {
+func NewBroker(vm string, tight *document.TightServices, links Links, services Services, reach *route.Reachability, clock timer.Clock, meter *telemetry.Meter, log event.Logger) *Broker {
 	return &Broker{
-		VM: vm, Objective: objective, Links: links, Services: services, Reach: reach, Clock: clock, Meter: meter, Log: log,
+		VM: vm, Tight: tight, Links: links, Services: services, Reach: reach, Clock: clock, Meter: meter, Log: log,
 		trackers: make(map[string]*Tracker), suspects: make(map[string]time.Time), reports: make(map[reportTarget][]*link.PromptReport),
 		flushSignal: make(chan struct{}, 1),
 	}
@@ -108,37 +104,17 @@
 	started bool
 }
 
-// Places reports whether the prompts of a service are placed by one VM: it has a route with an objective up to Objective.
+// Places reports whether the prompts of a service are placed by one VM.
 func (b *Broker) Places(service string) bool {
-	if b == nil || b.Objective <= 0 {
+	if b == nil {
 		return false
 	}
 	d := b.Services.Document()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if d != b.eligible.document {
-		b.eligible.document, b.eligible.services = d, b.eligibleServices(d)
-	}
-	return b.eligible.services[service]
-}
-
-func (b *Broker) eligibleServices(d *document.Document) map[string]bool {
-	out := make(map[string]bool)
-	if d == nil {
-		return out
-	}
-	for i := range d.Routes {
-		r := &d.Routes[i]
-		if r.TargetLatencyMS <= 0 || r.TargetLatency() > b.Objective {
-			continue
-		}
-		for _, s := range r.Services {
-			if service := d.Service(s.Service); service != nil && service.Engine != nil {
-				out[s.Service] = true
-			}
-		}
+	if !b.Tight.Contains(d, service) {
+		return false
 	}
-	return out
+	s := d.Service(service)
+	return s != nil && s.Engine != nil
 }
 
 // Place has the owner of the service select an engine. It returns nil if the caller has to select by itself: the owner did
--- a/placement/broker_test.go
+++ b/placement/broker_test.go
@@ -78,7 +78,7 @@
 		for i := range candidates {
 			candidates[i].ExpiresAt = timer.System.Now().Add(time.Hour)
 		}
-		v.brokers[name] = NewBroker(name, objective, v, services{candidates, d}, &route.Reachability{}, timer.System, nil, event.Logger{})
+		v.brokers[name] = NewBroker(name, &document.TightServices{Limit: objective}, v, services{candidates, d}, &route.Reachability{}, timer.System, nil, event.Logger{})
 	}
 	return v
 }
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -26,7 +26,7 @@
 	runningTokens = 150
 	// interruptionWeight is the cost of each token to prefill for each request that runs at the engine, since its stream pauses
 	// meanwhile. It keeps long prompts and long streams at different engines.
-	interruptionWeight = 0.3
+	interruptionWeight = 1
 	// reportDelay is the usual time until the VM that placed a prompt has reported its first event here.
 	reportDelay = 40 * time.Millisecond
 	// maxWait bounds the expected wait at an engine that is overdue with its first events.
--- a/setting/policy.go
+++ b/setting/policy.go
@@ -19,7 +19,7 @@
 }
 
 // overloadPolicies are the names of the policies for overload, those of piece.OverloadPolicy.
-var overloadPolicies = []string{"defer", "least_cost"}
+var overloadPolicies = []string{"defer", "refuse_late", "least_cost"}
 
 func setOverloadPolicy(s *Settings, value string) error {
 	if !slices.Contains(overloadPolicies, value) {
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -46,8 +46,9 @@
 	// ProfileFile is a file for a CPU profile of the whole run.
 	ProfileFile string
 	Policy      string
-	// PlacementObjective is the latency objective up to which one VM selects the engines for the prompts of all VMs; 0 for never.
-	PlacementObjective time.Duration
+	// TightObjective is the latency objective up to which a route is tight: one VM selects the engines for its prompts, and the
+	// overload policy refuse_late applies to its stages; 0 for none.
+	TightObjective time.Duration
 	// OverloadPolicy selects which stages are delayed or refused in an overload, see piece.OverloadPolicy.
 	OverloadPolicy string
 	// SettingsFile is a YAML file for settings that neither a flag nor an environment variable sets.
@@ -129,8 +130,8 @@
 	{"trace_file", "", "file to write traces to", func(s *Settings, v string) error { s.TraceFile = v; return nil }},
 	{"profile_file", "", "file to write a CPU profile of the whole run to; the VM's name is appended", func(s *Settings, v string) error { s.ProfileFile = v; return nil }},
 	{"policy", "predicted", "load balancing policy: predicted, least_in_flight, round_robin or random", setPolicy},
-	{"placement_objective", "0s", "latency objective of a route up to which one VM selects the engines for the prompts of all VMs; 0s for never", func(s *Settings, v string) error { return setDuration(&s.PlacementObjective, v) }},
-	{"overload_policy", "defer", "which stages wait or are refused in an overload: defer or least_cost", setOverloadPolicy},
+	{"tight_objective", "0s", "latency objective of a route up to which one VM selects the engines for the prompts of all VMs, and the overload policy refuse_late applies to the services of its stages; 0s for none", func(s *Settings, v string) error { return setDuration(&s.TightObjective, v) }},
+	{"overload_policy", "defer", "which stages wait or are refused in an overload: defer, refuse_late or least_cost", setOverloadPolicy},
 	{"capacity", "0", "CPU capacity of this VM, in cores; the VMs with the highest share dispatch pieces for the others", func(s *Settings, v string) error { return setNumber(&s.Capacity, v) }},
 	{"memory_mb", "0", "memory that the process may use, in MB; 0 for no limit", func(s *Settings, v string) error { return setCount(&s.MemoryMB, v) }},
 	{"max_fds", "0", "file descriptors that the process may have; 0 for the limit of the operating system", func(s *Settings, v string) error { return setOptionalCount(&s.MaxFDs, v) }},
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -58,7 +58,7 @@
 		`--join (or GODWITPLANK_JOIN): "127.0.0.1:0" has port 0`,
 		`--log_level (or GODWITPLANK_LOG_LEVEL): "loud" is not a log level; use debug`,
 		`--operator_token_file (or GODWITPLANK_OPERATOR_TOKEN_FILE): the token has fewer than 16 characters`,
-		`--overload_policy (or GODWITPLANK_OVERLOAD_POLICY): "refuse" is not a policy for overload; use one of defer, least_cost`,
+		`--overload_policy (or GODWITPLANK_OVERLOAD_POLICY): "refuse" is not a policy for overload; use one of defer, refuse_late, least_cost`,
 		`--policy (or GODWITPLANK_POLICY): "best" is not a policy; use one of least_in_flight, predicted`,
 		`--discover (or GODWITPLANK_DISCOVER): "perhaps" is not a valid boolean`,
 	} {
