--- a/piece/admission_test.go
+++ b/piece/admission_test.go
@@ -46,6 +46,8 @@
 	requests []*loadRequest
 	jobs     map[*pendingJob]*loadRequest
 	pieces   int
+	// refuseLate plays the policy RefuseLate.
+	refuseLate bool
 }
 
 type loadEndpoint struct {
@@ -94,7 +96,7 @@
 	}
 	s, q := o.stages[i], o.queues[i]
 	due := r.first.Add(r.objective)
-	if q.admitter == nil {
+	if q.admitter == nil && !o.refuseLate {
 		due = r.attempted.Add(r.objective)
 	}
 	var later func(q *queue) time.Duration
@@ -263,6 +265,9 @@
 		q.sort(o.now)
 		o.dispatch(i)
 		before := slices.Clone(q.jobs)
+		if o.refuseLate {
+			q.refuseLate(o.now)
+		}
 		q.refusePassedOver(o.now)
 		for _, p := range before {
 			if p.ended {
@@ -279,9 +284,15 @@
 	worth, refusedWait, longerOne float64
 }
 
-// newLoadPlay returns a play with the given admission order, or with today's order if it is negative.
+// The policies without package admission, as orders of a play.
+const (
+	deferOrder      admission.Order = -1
+	refuseLateOrder admission.Order = -2
+)
+
+// newLoadPlay returns a play with the given admission order, or with the policy of deferOrder or refuseLateOrder.
 func newLoadPlay(order admission.Order, stages int, load string) *loadPlay {
-	o := &loadPlay{now: start, jobs: make(map[*pendingJob]*loadRequest)}
+	o := &loadPlay{now: start, jobs: make(map[*pendingJob]*loadRequest), refuseLate: order == refuseLateOrder}
 	for i, perPiece := range []float64{5, 2.8, 1.6}[:stages] {
 		batch := &document.Batch{Pieces: []int{24, 46, 78}[i], CallMS: 150, PieceMS: perPiece, KeepMS: 4000, ResultBytes: []int64{5 << 20, 4 << 20, 15 << 20}[i]}
 		o.stages = append(o.stages, &document.Service{Name: fmt.Sprint("s", i), Batch: batch})
@@ -467,9 +478,9 @@
 	orders := []struct {
 		order admission.Order
 		name  string
-	}{{-1, "defer"}, {admission.LeastSlack, "least slack"}, {admission.ShortestFirst, "shortest first"}, {admission.NewestFirst, "newest first"}, {admission.ValuePerNeed, "value per need"}}
+	}{{deferOrder, "defer"}, {refuseLateOrder, "refuse late"}, {admission.LeastSlack, "least slack"}, {admission.ShortestFirst, "shortest first"}, {admission.NewestFirst, "newest first"}, {admission.ValuePerNeed, "value per need"}}
 	if !testing.Verbose() {
-		orders = orders[:2]
+		orders = orders[:3]
 	}
 	for seed := range uint64(3) {
 		for _, stages := range []int{1, 3} {
@@ -487,8 +498,12 @@
 						a := got["all"]
 						t.Logf("| %d | %s | %s | %.3f | %.3f |%s | %.2f | %.3f |", stages, name[2:], c.name, a.worth, o.foresee(), line, a.refusedWait, float64(o.unused())/float64(o.pieces))
 						switch c.order {
-						case -1:
+						case deferOrder:
 							today = a
+						case refuseLateOrder:
+							if a.worth < today.worth {
+								t.Errorf("the worth of refuse late is below that of defer, %.3f", today.worth)
+							}
 						case admission.LeastSlack:
 							if a.worth < today.worth {
 								t.Errorf("the worth is below that of defer, %.3f", today.worth)
--- a/piece/dispatch.go
+++ b/piece/dispatch.go
@@ -39,7 +39,9 @@
 		q.sort(now)
 		d.dispatch(name, q)
 		if d.Overload == RefuseLate && d.Tight != nil && d.Tight(name) {
-			d.refuseLate(now, q)
+			for _, p := range q.refuseLate(now) {
+				d.recordRefusal(now, p)
+			}
 		}
 		q.refusePassedOver(now)
 	}
--- a/piece/overload.go
+++ b/piece/overload.go
@@ -64,17 +64,19 @@
 	minLateWait = 100 * time.Millisecond
 )
 
-// refuseLate refuses the jobs that no endpoint took and that have missed their objective. It answers waves of more demand than
+// refuseLate refuses and returns the jobs that no endpoint took and that have missed their objective. It answers waves of more demand than
 // capacity: a job that waits behind them rarely starts before its caller gives up, and a caller that was held until then
 // loses more than one that was refused early.
-func (d *Dispatcher) refuseLate(now time.Time, q *queue) {
+func (q *queue) refuseLate(now time.Time) []*pendingJob {
+	var refused []*pendingJob
 	for _, p := range q.jobs {
 		if p.started || p.ended || p.InputsHoldMemory || now.Sub(p.queuedAt) < minLateWait || now.Add(p.predicted).Sub(p.Due) < lateGrace {
 			continue
 		}
 		p.refuse(admission.Decision{Verdict: admission.Refuse, Wait: admission.Never, RetryAfter: overloadRetryAfter()})
-		d.recordRefusal(now, p)
+		refused = append(refused, p)
 	}
+	return refused
 }
 
 // overloadRetryAfter returns a time after which the caller of a refused job should return.
--- a/piece/refuse_late_test.go
+++ b/piece/refuse_late_test.go
@@ -10,12 +10,7 @@
 	"github.com/matryer/is"
 
 	"godwitplank"
-	"godwitplank/connection"
-	"godwitplank/event"
 	"godwitplank/fault"
-	"godwitplank/retry"
-	"godwitplank/route"
-	"godwitplank/timer"
 )
 
 // Callers of late jobs were held until their deadline and then got nothing. Jobs in time, started ones and those whose inputs
@@ -23,7 +18,6 @@
 func TestLateJobsAreRefused(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1_000_000, 0)
-	d := NewDispatcher(services{}, protocol{}, &connection.Pool{Clock: timer.System}, &retry.Budget{Window: time.Second}, &route.Reachability{}, timer.System, nil, event.Logger{})
 	pending := func(id string, due time.Duration) *pendingJob {
 		p := newPendingJob(&Job{RequestID: id, Pieces: 1, Due: now.Add(due), Deadline: now.Add(5 * time.Second)}, now.Add(-time.Second), 250*time.Millisecond)
 		return p
@@ -31,7 +25,7 @@
 	inTime, justLate, late, started, holding, arrived := pending("in time", time.Second), pending("just late", 0), pending("late", -time.Second), pending("started", -time.Second), pending("holding", -time.Second), pending("arrived", -time.Second)
 	started.started, holding.InputsHoldMemory, arrived.queuedAt = true, true, now
 	q := &queue{jobs: []*pendingJob{inTime, justLate, late, started, holding, arrived}}
-	d.refuseLate(now, q)
+	is.Equal(q.refuseLate(now), []*pendingJob{late})
 	for _, p := range []*pendingJob{inTime, justLate, started, holding, arrived} {
 		is.True(!p.ended)
 	}
@@ -39,7 +33,6 @@
 	refusal := fault.As(<-late.done)
 	is.Equal(refusal.Outcome, godwitplank.NotRun)
 	is.True(refusal.RetryAfterMS >= minOverloadRetry.Milliseconds() && refusal.RetryAfterMS <= maxOverloadRetry.Milliseconds())
-	is.Equal(d.RefusedJobs()[""], 1)
 }
 
 // With refuse_late, services without a tight objective are served as with defer.
@@ -74,6 +67,7 @@
 				}
 			}
 			is.Equal(refused > 0, tight)
+			is.Equal(d.RefusedJobs()["s"], refused)
 		})
 	}
 }
