--- a/placement/tracker_test.go
+++ b/placement/tracker_test.go
@@ -170,3 +170,19 @@
 	}
 	return total / count
 }
+
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{60, 1900} {
+		b.Run(fmt.Sprint(n, " engines"), func(b *testing.B) {
+			var tracker Tracker
+			candidates := engines(n)
+			at := time.Duration(0)
+			for b.Loop() {
+				at += time.Millisecond
+				d := tracker.Place(query(at), candidates, prompt(fmt.Sprint("s", int(at)%500), 3000, 2000))
+				tracker.First(d.Ticket, start.Add(at))
+				tracker.End(start.Add(at), d.Ticket, false)
+			}
+		})
+	}
+}
