control: log and count transfers of the document between VMs

A fetch that failed left no trace, so that the hypotheses of docs/incidents/large-document.md could not be told apart. Events 603 and 604, the counter godwitplank_document_fetches, its duration, and the gauge godwitplank_document_newest_version, to compare with the version in force.

--- a/control/peer.go
+++ b/control/peer.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"godwitplank/event"
 	"godwitplank/link"
@@ -256,25 +258,36 @@
 	if err != nil {
 		return pause
 	}
-	newer := false
+	newer := uint64(0)
 	err = c.do(ctx, func() {
 		pause = c.pauseBetweenExchanges(sentAt, p)
 		p.crashesSentAt = sentAt
 		c.handleExchangeReply(p, sentAt, reply)
 		p.sentSpendRevision, p.pacesSentAt = sentRevision, sentAt
-		newer = reply.Sender.GetDocumentVersion() > c.storedDocument.GetVersion()
+		if reported := reply.Sender.GetDocumentVersion(); reported > c.storedDocument.GetVersion() {
+			newer = reported
+		}
 	})
-	if err == nil && newer {
-		c.fetchDocument(callCtx, p)
+	if err == nil && newer > 0 {
+		c.fetchDocument(callCtx, p, newer)
 	}
 	return pause
 }
 
-func (c *Control) fetchDocument(ctx context.Context, p *peer) {
+// fetchDocument fetches the document of a VM, which reported that it has the given version, and activates it.
+func (c *Control) fetchDocument(ctx context.Context, p *peer, version uint64) {
+	started := c.Clock.Now()
 	reply, err := p.client().FetchDocument(ctx, &link.FetchDocumentRequest{})
+	took := c.Clock.Now().Sub(started)
 	if err != nil || reply.Document == nil {
+		c.Meter.RecordDocumentFetch("failed", took)
+		c.Log.Log(event.DocumentFetchFailed, "peer", p.addr.String(), "document_version", version,
+			"active_version", c.View().DocumentVersion(), "took_ms", took.Milliseconds(), "error", status.Convert(err).Message())
 		return
 	}
+	c.Meter.RecordDocumentFetch("done", took)
+	c.Log.Log(event.DocumentFetched, "peer", p.addr.String(), "document_version", reply.Document.Version,
+		"bytes", proto.Size(reply), "took_ms", took.Milliseconds())
 	_ = c.do(ctx, func() { c.applyDocument(reply.Document) })
 }
 
--- a/control/view.go
+++ b/control/view.go
@@ -97,6 +97,23 @@
 	return c.view.Load()
 }
 
+// DocumentVersion returns the version of the active document, 0 if there is none.
+func (v *View) DocumentVersion() uint64 {
+	if v.Document == nil {
+		return 0
+	}
+	return v.Document.Version
+}
+
+// NewestVersion returns the highest document version that this VM knows to be active on any VM.
+func (v *View) NewestVersion() uint64 {
+	newest := v.DocumentVersion()
+	for i := range v.VMs {
+		newest = max(newest, v.VMs[i].DocumentVersion)
+	}
+	return newest
+}
+
 // publishDue reports whether a stale view must be replaced now.
 func (c *Control) publishDue() bool {
 	return c.viewStale && (c.viewUrgent || c.Clock.Now().Sub(c.publishedAt) >= minPublishInterval)
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -16,6 +16,7 @@
 	return []telemetry.Gauge{
 		{Name: "godwitplank_ready", Description: "1 while the VM tells the balancer that it is ready.", Read: d.readReady},
 		{Name: "godwitplank_document_version", Description: "Version of the document in force.", Read: d.readVersion},
+		{Name: "godwitplank_document_newest_version", Description: "Highest version of the document that any VM has in force, as this one knows.", Read: d.readNewestVersion},
 		{Name: "godwitplank_document_age_seconds", Description: "Time since the document was put in force here.", Read: d.readAge},
 		{Name: "godwitplank_endpoints", Description: "Endpoints by pool and state.", Read: d.readEndpoints},
 		{Name: "godwitplank_endpoints_quiet", Description: "Endpoints that asked this VM for no calls for a time that is not over.", Read: d.readQuiet},
@@ -49,10 +50,11 @@
 }
 
 func (d *Daemon) readVersion() []telemetry.Reading {
-	if v := d.control.View(); v.Document != nil {
-		return singleReading(float64(v.Document.Version))
-	}
-	return singleReading(0)
+	return singleReading(float64(d.control.View().DocumentVersion()))
+}
+
+func (d *Daemon) readNewestVersion() []telemetry.Reading {
+	return singleReading(float64(d.control.View().NewestVersion()))
 }
 
 func (d *Daemon) readAge() []telemetry.Reading {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -59,6 +59,8 @@
 	RequestNotStarted     = Event{519, log.InfoLevel, "request not started: a later stage has no capacity in time", "request_id, route, priority, due_ms, needed_ms, wait_ms, retry_after_ms, returned", "if it lasts, add endpoints of the service of the stage with the longest wait, see event 518"}
 	DocumentActivated     = Event{601, log.InfoLevel, "document activated", "document_version, digest", "nothing"}
 	DocumentRefused       = Event{602, log.InfoLevel, "document refused", "document_version, kind, message", "fix the document and submit it again"}
+	DocumentFetched       = Event{603, log.InfoLevel, "document fetched from another VM", "peer, document_version, bytes, took_ms", "nothing; event 601 follows if it is newer than the active one"}
+	DocumentFetchFailed   = Event{604, log.WarnLevel, "document could not be fetched from another VM", "peer, document_version, active_version, took_ms, error", "nothing if event 601 of that version follows; else check the link to the VM"}
 	EvacuationStarted     = Event{701, log.InfoLevel, "evacuation of a data centre in effect", "data_centre, version", "nothing; end the evacuation when the data centre may get work again"}
 	EvacuationEnded       = Event{702, log.InfoLevel, "evacuation of a data centre ended", "data_centre, version", "nothing"}
 	EvacuationRefused     = Event{703, log.WarnLevel, "evacuation command refused or not confirmed", "data_centre, active, error", "see the error; a command without a majority may still take effect: send it again"}
@@ -74,6 +76,6 @@
 	EndpointCold, EndpointWarm,
 	RequestRefused, AnswerDropped, OutcomeUnknown,
 	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, BatchFinished, StageFinished, ResultNotReleased, DispatcherFailed, RequestAccepted, RetryRefused, PromptQuarantined, RequestQuarantined, CallersBounded, PlacementFailed, JobRefused, RequestNotStarted,
-	DocumentActivated, DocumentRefused,
+	DocumentActivated, DocumentRefused, DocumentFetched, DocumentFetchFailed,
 	EvacuationStarted, EvacuationEnded, EvacuationRefused,
 }
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -35,10 +35,12 @@
 	requests       metric.Int64Counter
 	attempts       metric.Int64Counter
 	connections    metric.Int64Counter
+	fetches        metric.Int64Counter
 	requestSeconds metric.Float64Histogram
 	stageSeconds   metric.Float64Histogram
 	commitSeconds  metric.Float64Histogram
 	syncSeconds    metric.Float64Histogram
+	fetchSeconds   metric.Float64Histogram
 	meter          metric.Meter
 	handler        http.Handler
 }
@@ -59,6 +61,7 @@
 		{"godwitplank_requests", "Requests by pipeline, outcome and kind of refusal.", &out.requests},
 		{"godwitplank_stage_attempts", "Stage calls by pool, cause and result.", &out.attempts},
 		{"godwitplank_connections_opened", "New connections to endpoints.", &out.connections},
+		{"godwitplank_document_fetches", "Transfers of the document from another VM by result.", &out.fetches},
 	} {
 		if *c.counter, err = m.Int64Counter(c.name, metric.WithDescription(c.description)); err != nil {
 			return nil, err
@@ -72,6 +75,7 @@
 		{"godwitplank_stage_seconds", "Time of each stage call.", &out.stageSeconds},
 		{"godwitplank_commit_seconds", "Time until a proposed change was committed.", &out.commitSeconds},
 		{"godwitplank_sync_seconds", "Time to write and sync a batch of the replicated log.", &out.syncSeconds},
+		{"godwitplank_document_fetch_seconds", "Time to transfer the document from another VM, also if that failed.", &out.fetchSeconds},
 	} {
 		*h.histogram, err = m.Float64Histogram(h.name, metric.WithUnit("s"), metric.WithDescription(h.description), metric.WithExplicitBucketBoundaries(bucketBounds...))
 		if err != nil {
@@ -120,6 +124,16 @@
 	}
 }
 
+// RecordDocumentFetch records a transfer of the document from another VM. Result is done or failed.
+func (m *Meter) RecordDocumentFetch(result string, elapsed time.Duration) {
+	if m == nil || m.fetches == nil {
+		return
+	}
+	attributes := metric.WithAttributes(attribute.String("result", result))
+	m.fetches.Add(context.Background(), 1, attributes)
+	m.fetchSeconds.Record(context.Background(), elapsed.Seconds(), attributes)
+}
+
 // RecordConnection counts a new connection to an endpoint.
 func (m *Meter) RecordConnection() {
 	if m == nil || m.connections == nil {
