--- a/control/evacuation_test.go
+++ b/control/evacuation_test.go
@@ -64,7 +64,7 @@
 func (v *voter) start(t *testing.T, l net.Listener) {
 	t.Helper()
 	c := openSeededControl(t, v.dir, v.addr, true, v.seeds)
-	server := grpc.NewServer(grpc.UnaryInterceptor(v.intercept))
+	server := grpc.NewServer(grpc.UnaryInterceptor(v.intercept), grpc.MaxRecvMsgSize(MaxMessageBytes))
 	link.RegisterLinkServer(server, c)
 	ctx, cancel := context.WithCancel(context.Background())
 	v.Control, v.cancel = c, cancel
