control: transfer the document as a difference, one transfer at a time

Callers saw requests handled by a document that had been replaced long before, or 404 for a route that had been added. Cause: each state exchange that saw a newer version fetched the whole document within what was left of the exchange's limit of 1 s, and each of the six exchanges of a VM did so by itself. The copies shared the link, missed the limit, were discarded and started again. A document above some size never arrived; while changes followed each other even small ones were starved. The class: a transfer of unbounded size under a time limit that was made for small messages.

Now there is one transfer at a time, apart from the exchanges. It carries the difference to the version held (zstd with that version as dictionary), in parts, and only progress is limited in time; another VM is asked if a part does not come. Builds without the new call are asked for the whole document.

--- a/control/control.go
+++ b/control/control.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"godwitplank/crash"
+	"godwitplank/difference"
 	"godwitplank/disk"
 	"godwitplank/document"
 	"godwitplank/endpoint"
@@ -108,6 +109,8 @@
 	document           *document.Document
 	storedDocument     *state.DocumentChange
 	activeSince        time.Time
+	transfer           transfer
+	history            difference.History // versions that transfers to other VMs may refer to
 	endpoints          endpoint.Table
 	stats              map[statsKey]*route.Stats
 	coldShares         map[statsKey]coldShare
@@ -322,6 +325,9 @@
 	c.document = parsed
 	c.storedDocument = proto.CloneOf(d)
 	c.activeSince = c.Clock.Now()
+	if c.Folder != nil || !c.HubsOnly {
+		c.history.Add(d.Digest, c.storedDocument.Canonical)
+	}
 	c.viewStale, c.viewUrgent = true, true
 	c.Log.Log(event.DocumentActivated, "document_version", d.Version, "digest", d.Digest)
 }
--- a/control/evacuation_test.go
+++ b/control/evacuation_test.go
@@ -37,6 +37,8 @@
 	group  sync.WaitGroup
 	// dies makes the VM stop after it has committed the next proposal and before it replies.
 	dies, died atomic.Bool
+	// transferFault replaces the transfers of the document by this VM, unless nil.
+	transferFault atomic.Pointer[func(stream grpc.ServerStream) error]
 }
 
 // startVoters starts a group of three VMs on loopback addresses.
@@ -64,7 +66,7 @@
 func (v *voter) start(t *testing.T, l net.Listener) {
 	t.Helper()
 	c := openSeededControl(t, v.dir, v.addr, true, v.seeds)
-	server := grpc.NewServer(grpc.UnaryInterceptor(v.intercept), grpc.MaxRecvMsgSize(MaxMessageBytes))
+	server := grpc.NewServer(grpc.UnaryInterceptor(v.intercept), grpc.StreamInterceptor(v.interceptTransfer), grpc.MaxRecvMsgSize(MaxMessageBytes))
 	link.RegisterLinkServer(server, c)
 	ctx, cancel := context.WithCancel(context.Background())
 	v.Control, v.cancel = c, cancel
@@ -100,6 +102,13 @@
 	return reply, err
 }
 
+func (v *voter) interceptTransfer(server any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handler grpc.StreamHandler) error {
+	if replace := v.transferFault.Load(); replace != nil {
+		return (*replace)(stream)
+	}
+	return handler(server, stream)
+}
+
 // evacuated returns the evacuated data centres of a published view.
 func evacuated(c *Control) []string {
 	return c.View().Evacuations.DataCentres()
--- a/control/large_document_test.go
+++ b/control/large_document_test.go
@@ -11,8 +11,12 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"godwitplank/document"
+	"godwitplank/link"
 	"godwitplank/timer"
 )
 
@@ -223,3 +227,47 @@
 	is.True(activations >= changes/3) // changes come into force while others follow
 	is.Equal(entry.View().Document.Routes[7*(changes-1)].Services[0].Service, "service-b")
 }
+
+// A hub that can't send its document kept a VM from the document of the others.
+func TestTransferContinuesAtAnotherHub(t *testing.T) {
+	is := is.New(t)
+	voters := startVoters(t)
+	leader, _ := waitForLeader(t, voters)
+	entry := startEntryVM(t, voters)
+	d := documentOfRoutes(100)
+	for i, c := range []struct {
+		name  string
+		hubs  int // number of hubs with the fault
+		fault func(stream grpc.ServerStream) error
+	}{
+		{"no fault", 0, nil},
+		{"stalls", 2, func(stream grpc.ServerStream) error {
+			<-stream.Context().Done()
+			return nil
+		}},
+		{"stalls after the first part", 2, func(stream grpc.ServerStream) error {
+			err := stream.SendMsg(&link.DocumentPart{Version: 9, TotalBytes: 1 << 20, Data: make([]byte, 1<<10)})
+			<-stream.Context().Done()
+			return err
+		}},
+		{"damaged", 2, func(stream grpc.ServerStream) error {
+			return stream.SendMsg(&link.DocumentPart{Data: []byte("damaged")})
+		}},
+		{"too large", 2, func(stream grpc.ServerStream) error { return stream.SendMsg(&link.DocumentPart{TotalBytes: 1 << 40}) }},
+		{"breaks off", 2, func(grpc.ServerStream) error { return status.Error(codes.Internal, "broken") }},
+		{"an earlier build", 3, func(grpc.ServerStream) error { return status.Error(codes.Unimplemented, "unknown method") }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for _, v := range voters[:c.hubs] {
+				v.transferFault.Store(&c.fault)
+			}
+			d.Version = uint64(i + 1)
+			submitLarge(t, leader, d)
+			waitUntil(t, "the document", func() bool { return entry.View().DocumentVersion() == d.Version })
+			for _, v := range voters {
+				v.transferFault.Store(nil)
+			}
+		})
+	}
+	is.Equal(entry.View().NewestVersion(), d.Version)
+}
--- a/control/peer.go
+++ b/control/peer.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/status"
-	"google.golang.org/protobuf/proto"
 
 	"godwitplank/event"
 	"godwitplank/link"
@@ -67,6 +65,9 @@
 	advertised netip.AddrPort
 	replied    bool
 	isSelf     bool
+	// documentVersion is the version of the document that the peer last reported or sent.
+	documentVersion  uint64
+	transferFailedAt time.Time
 	// aliveVMs names the VMs that the peer last reported as alive.
 	aliveVMs map[string]bool
 	// callsOnly peers are used for single calls, without state exchange or Raft messages.
@@ -225,8 +226,8 @@
 	return v != nil && v.DataCentre == c.DataCentre
 }
 
-// exchange requests the state changes of a VM and merges them. It fetches the VM's document if that is newer. It returns
-// the time from the start of this exchange to the next one.
+// exchange requests the state changes of a VM and merges them. It starts the transfer of the VM's document if that is newer.
+// It returns the time from the start of this exchange to the next one.
 func (c *Control) exchange(ctx context.Context, p *peer) time.Duration {
 	pause := exchangeInterval
 	var request *link.ExchangeRequest
@@ -258,39 +259,16 @@
 	if err != nil {
 		return pause
 	}
-	newer := uint64(0)
-	err = c.do(ctx, func() {
+	_ = c.do(ctx, func() {
 		pause = c.pauseBetweenExchanges(sentAt, p)
 		p.crashesSentAt = sentAt
 		c.handleExchangeReply(p, sentAt, reply)
 		p.sentSpendRevision, p.pacesSentAt = sentRevision, sentAt
-		if reported := reply.Sender.GetDocumentVersion(); reported > c.storedDocument.GetVersion() {
-			newer = reported
-		}
+		c.startTransfer()
 	})
-	if err == nil && newer > 0 {
-		c.fetchDocument(callCtx, p, newer)
-	}
 	return pause
 }
 
-// fetchDocument fetches the document of a VM, which reported that it has the given version, and activates it.
-func (c *Control) fetchDocument(ctx context.Context, p *peer, version uint64) {
-	started := c.Clock.Now()
-	reply, err := p.client().FetchDocument(ctx, &link.FetchDocumentRequest{})
-	took := c.Clock.Now().Sub(started)
-	if err != nil || reply.Document == nil {
-		c.Meter.RecordDocumentFetch("failed", took)
-		c.Log.Log(event.DocumentFetchFailed, "peer", p.addr.String(), "document_version", version,
-			"active_version", c.View().DocumentVersion(), "took_ms", took.Milliseconds(), "error", status.Convert(err).Message())
-		return
-	}
-	c.Meter.RecordDocumentFetch("done", took)
-	c.Log.Log(event.DocumentFetched, "peer", p.addr.String(), "document_version", reply.Document.Version,
-		"bytes", proto.Size(reply), "took_ms", took.Milliseconds())
-	_ = c.do(ctx, func() { c.applyDocument(reply.Document) })
-}
-
 func (c *Control) handleExchangeReply(p *peer, sentAt time.Time, r *link.ExchangeReply) {
 	now := c.Clock.Now()
 	p.replied = true
@@ -301,6 +279,7 @@
 		p.isSelf = true
 		return
 	}
+	p.documentVersion = r.Sender.GetDocumentVersion()
 	c.recordVM(now, r.Sender, sentAt)
 	for _, v := range r.Others {
 		if v.Name != c.Name {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -60,7 +60,7 @@
 	DocumentActivated     = Event{601, log.InfoLevel, "document activated", "document_version, digest", "nothing"}
 	DocumentRefused       = Event{602, log.InfoLevel, "document refused", "document_version, kind, message", "fix the document and submit it again"}
 	DocumentFetched       = Event{603, log.InfoLevel, "document fetched from another VM", "peer, document_version, bytes, took_ms", "nothing; event 601 follows if it is newer than the active one"}
-	DocumentFetchFailed   = Event{604, log.WarnLevel, "document could not be fetched from another VM", "peer, document_version, active_version, took_ms, error", "nothing if event 601 of that version follows; else check the link to the VM"}
+	DocumentFetchFailed   = Event{604, log.WarnLevel, "document could not be fetched from another VM", "peer, document_version, active_version, bytes, took_ms, error", "nothing if event 601 of that version follows; else check the link to the VM"}
 	EvacuationStarted     = Event{701, log.InfoLevel, "evacuation of a data centre in effect", "data_centre, version", "nothing; end the evacuation when the data centre may get work again"}
 	EvacuationEnded       = Event{702, log.InfoLevel, "evacuation of a data centre ended", "data_centre, version", "nothing"}
 	EvacuationRefused     = Event{703, log.WarnLevel, "evacuation command refused or not confirmed", "data_centre, active, error", "see the error; a command without a majority may still take effect: send it again"}
