control: tests of large messages between hubs and of full exchanges, red

Between voters with links of 100 Mbit/s a document of the target size gets no_quorum; over 7.5 Mbit/s a VM that starts never gets the 1,900 endpoints of the target.

--- a/control/evacuation_test.go
+++ b/control/evacuation_test.go
@@ -43,6 +43,12 @@
 
 // startVoters starts a group of three VMs on loopback addresses.
 func startVoters(t *testing.T) []*voter {
+	t.Helper()
+	return startVotersOn(t, func(l net.Listener) net.Listener { return l })
+}
+
+// startVotersOn is like startVoters, with the listeners of the VMs wrapped.
+func startVotersOn(t *testing.T, wrap func(net.Listener) net.Listener) []*voter {
 	t.Helper()
 	var voters []*voter
 	var listeners []net.Listener
@@ -56,7 +62,7 @@
 	}
 	for i, l := range listeners {
 		v := &voter{dir: filepath.Join(t.TempDir(), "data"), addr: seeds[i], seeds: seeds}
-		v.start(t, l)
+		v.start(t, wrap(l))
 		t.Cleanup(v.stop)
 		voters = append(voters, v)
 	}
--- a/control/large_document_test.go
+++ b/control/large_document_test.go
@@ -23,6 +23,8 @@
 const (
 	// slowLinkBytes is the bandwidth of a VM with a link of 7.5 Mbit/s, in bytes per second.
 	slowLinkBytes = 7_500_000 / 8
+	// hubLinkBytes is the bandwidth between hubs with links of 100 Mbit/s.
+	hubLinkBytes = 100_000_000 / 8
 	// changeTarget is the time in which a change is in force everywhere in the target deployment.
 	changeTarget = 12 * time.Second
 	// slowLinkChangeTarget is that time in deployments with such links and up to 2,000 routes.
@@ -271,3 +273,60 @@
 	}
 	is.Equal(entry.View().NewestVersion(), d.Version)
 }
+
+// narrowListener limits what a hub receives from all other VMs together.
+type narrowListener struct {
+	net.Listener
+
+	link *narrowLink
+}
+
+func (l narrowListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return narrowConn{conn, l.link}, err
+}
+
+type narrowConn struct {
+	net.Conn
+
+	link *narrowLink
+}
+
+func (c narrowConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p[:min(len(p), 16<<10)])
+	c.link.reserve(n)
+	return n, err
+}
+
+// A document that takes longer to reach the voters than one of their calls may take was never accepted.
+func TestTargetDocumentIsCommittedOverSlowLinks(t *testing.T) {
+	is := is.New(t)
+	voters := startVotersOn(t, func(l net.Listener) net.Listener { return narrowListener{l, newNarrowLink(t, hubLinkBytes)} })
+	leader, others := waitForLeader(t, voters)
+	d := documentOfTarget()
+	for i, v := range []*voter{leader, others[0]} {
+		d.Version = uint64(i + 1)
+		started := time.Now()
+		submitLarge(t, v, d)
+		t.Logf("version %d accepted after %v", d.Version, time.Since(started))
+		is.True(time.Since(started) < changeTarget)
+	}
+}
+
+// A reply with the state of all endpoints that takes longer than an exchange may take never arrived.
+func TestAllEndpointsArriveOverSlowLink(t *testing.T) {
+	is := is.New(t)
+	voters := startVoters(t)
+	waitForLeader(t, voters)
+	for _, v := range voters {
+		is.NoErr(v.do(context.Background(), func() {
+			for i := range 1900 {
+				v.endpoints.Announce(v.Clock.Now(), testEndpoint(i, 1, "digest"), time.Minute)
+			}
+		}))
+	}
+	entry := startEntryVM(t, voters)
+	started := time.Now()
+	waitUntil(t, "all endpoints", func() bool { return len(entry.View().Endpoints) == 1900 })
+	t.Logf("after %v", time.Since(started))
+}
