--- a/control/large_document_test.go
+++ b/control/large_document_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -236,6 +237,12 @@
 	voters := startVoters(t)
 	leader, _ := waitForLeader(t, voters)
 	entry := startEntryVM(t, voters)
+	// The hubs with faults are those that are asked first.
+	byAddr := make(map[netip.AddrPort]*voter)
+	for i, addr := range entry.Join {
+		byAddr[addr] = voters[i]
+	}
+	addrs := slices.SortedFunc(slices.Values(entry.Join), netip.AddrPort.Compare)
 	d := documentOfRoutes(100)
 	for i, c := range []struct {
 		name  string
@@ -260,8 +267,8 @@
 		{"an earlier build", 3, func(grpc.ServerStream) error { return status.Error(codes.Unimplemented, "unknown method") }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			for _, v := range voters[:c.hubs] {
-				v.transferFault.Store(&c.fault)
+			for _, addr := range addrs[:c.hubs] {
+				byAddr[addr].transferFault.Store(&c.fault)
 			}
 			d.Version = uint64(i + 1)
 			submitLarge(t, leader, d)
--- a/control/transfer.go
+++ b/control/transfer.go
@@ -94,13 +94,15 @@
 		return
 	}
 	c.transfer.whole = false
+	source.transferFailedAt = time.Time{}
 	// A VM that restarted after its last reply may have an older document than it reported.
 	source.documentVersion = d.GetVersion()
 	c.applyDocument(d)
 }
 
-// documentSource returns the peer to transfer the document from: of those that have the newest version that was reported,
-// preferably one in this VM's data centre. It returns nil if no peer has a newer document than this VM.
+// documentSource returns the peer to transfer the document from: the one whose last transfer did not fail, or failed first;
+// of several the one with the newest version, preferably in this VM's data centre. It returns nil if no peer has a newer
+// document than this VM.
 func (c *Control) documentSource(now time.Time) *peer {
 	var best *peer
 	for _, p := range c.peers {
@@ -117,6 +119,9 @@
 
 // compareSources orders peers by their fitness as source of the document, the best first.
 func (c *Control) compareSources(a, b *peer) int {
+	if !a.transferFailedAt.Equal(b.transferFailedAt) {
+		return a.transferFailedAt.Compare(b.transferFailedAt)
+	}
 	if a.documentVersion != b.documentVersion {
 		return cmp.Compare(b.documentVersion, a.documentVersion)
 	}
