control: time limits of large calls between hubs and of full exchanges

Raft messages of any size had 1 s to arrive, and heartbeats waited behind them, so that followers elected another leader meanwhile; a proposal had 1 s to reach the leader; the reply to a VM that starts had 1 s for the whole state.

Large Raft messages are now sent beside the others, at most two at a time for each VM, with a time limit by their size, as have proposals of documents. After a full reply took too long, the limit of the next exchange doubles.

--- a/control/connection.go
+++ b/control/connection.go
@@ -22,6 +22,18 @@
 // reconnectPause is the time before a call is repeated on a new connection.
 const reconnectPause = 20 * time.Millisecond
 
+// largeMessageBytes is the size from which a Raft message is sent beside the others: heartbeats behind it would come too late
+// and cost the leader its followers.
+const largeMessageBytes = 64 << 10
+
+// minBulkRate is the bandwidth between hubs, in bytes per second, that the time limits of large calls allow for.
+const minBulkRate = 2 << 20
+
+// sizedTimeout returns the time limit of a call that carries a number of bytes.
+func sizedTimeout(limit time.Duration, bytes int) time.Duration {
+	return limit + time.Duration(bytes)*time.Second/minBulkRate
+}
+
 // deliverLoop sends Raft messages, the queued ones batched into one call.
 func (c *Control) deliverLoop(ctx context.Context, p *peer) {
 	for {
@@ -29,17 +41,41 @@
 		case <-ctx.Done():
 			return
 		case m := <-p.outbox:
-			batch := append([]*raft.Message{m}, p.drainOutbox()...)
-			callCtx, cancel := context.WithTimeout(ctx, deliverTimeout)
-			_, err := p.client().Deliver(callCtx, &link.DeliverRequest{Messages: batch})
-			cancel()
-			if p.recordResult(err) {
-				c.Log.Log(event.ConnectionReset, "peer", p.addr.String())
-			}
+			c.deliver(ctx, p, deliverTimeout, append([]*raft.Message{m}, p.drainOutbox()...))
 		}
 	}
 }
 
+// deliverLargeLoop sends large Raft messages.
+func (c *Control) deliverLargeLoop(ctx context.Context, p *peer) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-p.largeOutbox:
+			c.deliver(ctx, p, sizedTimeout(deliverTimeout, contentBytes(m)), []*raft.Message{m})
+		}
+	}
+}
+
+func (c *Control) deliver(ctx context.Context, p *peer, timeout time.Duration, messages []*raft.Message) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	_, err := p.client().Deliver(ctx, &link.DeliverRequest{Messages: messages})
+	if p.recordResult(err) {
+		c.Log.Log(event.ConnectionReset, "peer", p.addr.String())
+	}
+}
+
+// contentBytes returns the size of the entries and the snapshot of a message.
+func contentBytes(m *raft.Message) int {
+	total := len(m.Snapshot.GetData())
+	for _, e := range m.Entries {
+		total += len(e.Data)
+	}
+	return total
+}
+
 // drainOutbox returns up to a quarter of the outbox's capacity of queued messages without waiting.
 func (p *peer) drainOutbox() []*raft.Message {
 	var out []*raft.Message
@@ -56,8 +92,12 @@
 
 // enqueue queues a Raft message. A full outbox drops it; the Raft replicas recover from lost messages.
 func (p *peer) enqueue(m *raft.Message) {
+	outbox := p.outbox
+	if contentBytes(m) >= largeMessageBytes {
+		outbox = p.largeOutbox
+	}
 	select {
-	case p.outbox <- m:
+	case outbox <- m:
 	default:
 	}
 }
--- a/control/peer.go
+++ b/control/peer.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"godwitplank/event"
 	"godwitplank/link"
@@ -27,6 +29,7 @@
 	startupExchangeInterval = 150 * time.Millisecond
 	startupPeriod           = 4 * time.Second
 	exchangeTimeout         = 1 * time.Second
+	maxExchangeTimeout      = 16 * time.Second
 	deliverTimeout          = 1 * time.Second
 	dialTimeout             = 500 * time.Millisecond
 	maxReconnectDelay       = 500 * time.Millisecond
@@ -84,6 +87,11 @@
 	fullListRequestedAt time.Time
 	cancel              context.CancelFunc
 	outbox              chan *raft.Message
+	// largeOutbox holds a large message beside the one that is being sent. Further ones are dropped: a replica that waits for a
+	// large message rejects the heartbeats that follow it, and the leader then sends the message again.
+	largeOutbox chan *raft.Message
+	// exchangeLimit is the time limit of the next exchange. The exchange loop owns it.
+	exchangeLimit time.Duration
 
 	mu                  sync.Mutex
 	conn                *grpc.ClientConn
@@ -97,13 +105,14 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	p := &peer{addr: addr, joined: joined, cancel: cancel, outbox: make(chan *raft.Message, outboxCapacity)}
+	p := &peer{addr: addr, joined: joined, cancel: cancel, outbox: make(chan *raft.Message, outboxCapacity), largeOutbox: make(chan *raft.Message, 1), exchangeLimit: exchangeTimeout}
 	if old := c.peers[addr]; old != nil {
 		p.conn = old.handOverConn()
 	}
 	c.peers[addr] = p
 	c.wg.Go(func() { c.exchangeLoop(ctx, p) })
 	c.wg.Go(func() { c.deliverLoop(ctx, p) })
+	c.wg.Go(func() { c.deliverLargeLoop(ctx, p) })
 }
 
 // updatePeers connects to known VMs that no joined address leads to, and removes the peers of VMs that are gone.
@@ -184,7 +193,7 @@
 	if v == nil || !v.LinkAddr.IsValid() || v.LinkAddr == c.LinkAddr {
 		return nil
 	}
-	p := &peer{addr: v.LinkAddr, name: name, callsOnly: true, cancel: func() {}, outbox: make(chan *raft.Message, 1)}
+	p := &peer{addr: v.LinkAddr, name: name, callsOnly: true, cancel: func() {}, outbox: make(chan *raft.Message, 1), largeOutbox: make(chan *raft.Message, 1)}
 	c.peers[v.LinkAddr] = p
 	return p
 }
@@ -250,9 +259,10 @@
 		return pause
 	}
 	sentAt := c.Clock.Now()
-	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, p.exchangeLimit)
 	defer cancel()
 	reply, err := p.client().Exchange(callCtx, request)
+	p.adaptLimit(request, err)
 	if p.recordResult(err) {
 		c.Log.Log(event.ConnectionReset, "peer", p.addr.String())
 	}
@@ -269,6 +279,16 @@
 	return pause
 }
 
+// adaptLimit raises the time limit of the next exchange after a reply with the whole state of the peer took too long: it would
+// take as long again.
+func (p *peer) adaptLimit(r *link.ExchangeRequest, err error) {
+	if status.Code(err) == codes.DeadlineExceeded && r.EndpointsSince == 0 {
+		p.exchangeLimit = min(2*p.exchangeLimit, maxExchangeTimeout)
+		return
+	}
+	p.exchangeLimit = exchangeTimeout
+}
+
 func (c *Control) handleExchangeReply(p *peer, sentAt time.Time, r *link.ExchangeReply) {
 	now := c.Clock.Now()
 	p.replied = true
--- a/control/propose.go
+++ b/control/propose.go
@@ -45,7 +45,8 @@
 
 // proposeOnce sends a command to the likely leader. If that VM does not lead, it returns the leader hint of its reply.
 func (c *Control) proposeOnce(ctx context.Context, command *state.Command, hint string) (*state.Result, string) {
-	timeout := proposeTimeout
+	d := command.GetDocument()
+	timeout := sizedTimeout(proposeTimeout, len(d.GetCanonical())+len(d.GetSource()))
 	if command.GetEvacuation() != nil {
 		timeout = evacuationProposeTimeout
 	}
