--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -36,6 +36,8 @@
 	EndpointQuietEnded    = Event{408, log.InfoLevel, "endpoint accepts calls again after its quiet", "endpoint, incarnation", "nothing"}
 	EndpointNoticeIgnored = Event{409, log.WarnLevel, "notice of an endpoint's response ignored", "endpoint, source, reason", "correct the endpoint"}
 	DepartureNotRecorded  = Event{410, log.WarnLevel, "departure of an endpoint not recorded", "endpoint, incarnation, error", "nothing if the endpoint asks another VM; else check the group with group show"}
+	EndpointLimited       = Event{411, log.InfoLevel, "endpoint states how many calls it takes from all VMs", "endpoint, incarnation, limit, source, request_id", "nothing; if it lasts, the endpoint is overloaded: add endpoints of its service"}
+	EndpointUnlimited     = Event{412, log.InfoLevel, "endpoint no longer states a limit", "endpoint, incarnation, limit, source, request_id", "nothing"}
 	EndpointCold          = Event{420, log.InfoLevel, "endpoint is cold and gets few calls", "endpoint, incarnation, pool, left_ms, rate, share", "nothing; if rate is 0, the service's endpoints get no calls while they are cold: raise cold_slack"}
 	EndpointWarm          = Event{421, log.InfoLevel, "endpoint is no longer cold", "endpoint, incarnation", "nothing"}
 	RequestRefused        = Event{501, log.DebugLevel, "request refused", "request_id, workspace, pipeline, kind, outcome", "see the remedy of the kind"}
@@ -72,7 +74,7 @@
 	RoleChanged, GroupStarted, MembershipChanged, SnapshotTaken, SnapshotInstalled, TailTruncated, LeadershipTransferred,
 	DiskFull, DiskWritable, SpendNotStored,
 	VMAlive, VMLost, ConnectionReset,
-	EndpointAnnounced, EndpointDraining, EndpointLost, EndpointConflict, EndpointEjected, EndpointLeaves, EndpointQuiet, EndpointQuietEnded, EndpointNoticeIgnored, DepartureNotRecorded,
+	EndpointAnnounced, EndpointDraining, EndpointLost, EndpointConflict, EndpointEjected, EndpointLeaves, EndpointQuiet, EndpointQuietEnded, EndpointNoticeIgnored, DepartureNotRecorded, EndpointLimited, EndpointUnlimited,
 	EndpointCold, EndpointWarm,
 	RequestRefused, AnswerDropped, OutcomeUnknown,
 	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, BatchFinished, StageFinished, ResultNotReleased, DispatcherFailed, RequestAccepted, RetryRefused, PromptQuarantined, RequestQuarantined, CallersBounded, PlacementFailed, JobRefused, RequestNotStarted,
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -347,6 +347,9 @@
 		header := g.Protocol.DecodeResponse(r.StatusCode, r.Header)
 		a.candidate.ObserveNotice(g.Clock.Now(), header.Notice, g.Log, "request", x.ID)
 		if header.RequestID == "" || header.RequestID == x.ID {
+			if header.Sealed && !header.NotRun && header.Notice.Limit == 0 {
+				a.candidate.ObserveNoLimit(g.Clock.Now(), g.Log, "request", x.ID)
+			}
 			return r, header, nil
 		}
 		g.Log.Log(event.AnswerDropped, "request_id", x.ID, "stage", x.service.Name, "attempt", x.attempts, "endpoint", header.RequestID)
--- a/piece/call.go
+++ b/piece/call.go
@@ -104,6 +104,9 @@
 			err = d.checkResults(response, len(items))
 		}
 		c.ObserveNotice(d.Clock.Now(), response.Notice, d.Log, "stage", items[0].RequestID)
+		if err == nil && !response.NotRun && response.Notice.Limit == 0 {
+			c.ObserveNoLimit(d.Clock.Now(), d.Log, "stage", items[0].RequestID)
+		}
 		return err == nil && !response.NotRun, err
 	})
 	if err != nil {
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -45,6 +45,7 @@
 	quietUntil          atomic.Int64 // Unix nanoseconds; 0 if the endpoint asked for no quiet or a call has succeeded since
 	completed           atomic.Int64 // calls that succeeded since the endpoint was last cold
 	report              atomic.Pointer[receivedReport]
+	stated              atomic.Pointer[StatedLimit] // nil if the endpoint never stated a limit
 
 	// Schedule holds when this VM may send calls while the endpoint is cold.
 	Schedule cold.Schedule
--- /dev/null
+++ b/route/limit.go
@@ -0,0 +1,46 @@
+package route
+
+import (
+	"time"
+
+	"godwitplank/event"
+)
+
+// MinLimit and MaxLimit bound the limit that an endpoint may state, in calls per second. Even an endpoint that takes none gets a
+// call now and then, since only its response tells when its limit has ended.
+const (
+	MinLimit = 0.1
+	MaxLimit = 1e6
+)
+
+// StatedLimit is what an endpoint last said about the calls that it takes from all VMs together.
+type StatedLimit struct {
+	// PerSecond is the number of calls per second, 0 if the endpoint no longer states a limit.
+	PerSecond float64
+	// At is when the response that said so arrived.
+	At time.Time
+}
+
+// StateLimit records that the endpoint takes a number of calls per second from all VMs together. It reports whether that is new.
+func (s *Stats) StateLimit(now time.Time, perSecond float64) bool {
+	previous := s.stated.Swap(&StatedLimit{perSecond, now})
+	return previous == nil || previous.PerSecond != perSecond
+}
+
+// StatedLimit returns what responses to this VM last said about a limit; zero if none ever stated one.
+func (s *Stats) StatedLimit() StatedLimit {
+	if stated := s.stated.Load(); stated != nil {
+		return *stated
+	}
+	return StatedLimit{}
+}
+
+// ObserveNoLimit records and logs that the endpoint completed a call of the given source without stating a limit, which ends one that it
+// stated before.
+func (c *Candidate) ObserveNoLimit(now time.Time, log event.Logger, source, requestID string) {
+	stated := c.Stats.stated.Load()
+	if stated == nil || stated.PerSecond == 0 || !c.Stats.stated.CompareAndSwap(stated, &StatedLimit{At: now}) {
+		return
+	}
+	log.Log(event.EndpointUnlimited, "endpoint", c.ID, "incarnation", c.Incarnation, "limit", stated.PerSecond, "source", source, "request_id", requestID)
+}
--- a/route/notice.go
+++ b/route/notice.go
@@ -15,6 +15,8 @@
 	RetryAfter time.Duration
 	// Load is the endpoint's load, nil if it does not say.
 	Load *LoadReport
+	// Limit is the number of calls per second that the endpoint takes from all VMs together, 0 if it states none.
+	Limit float64
 	// Ignored says what was wrong with a notice that could not be decoded, empty if nothing was.
 	Ignored string
 }
@@ -39,6 +41,9 @@
 	if n.Leaving && c.Stats.Leave() {
 		log.Log(event.EndpointLeaves, "endpoint", c.ID, "incarnation", c.Incarnation, "source", source, "request_id", requestID)
 	}
+	if n.Limit > 0 && c.Stats.StateLimit(now, n.Limit) {
+		log.Log(event.EndpointLimited, "endpoint", c.ID, "incarnation", c.Incarnation, "limit", n.Limit, "source", source, "request_id", requestID)
+	}
 	if n.RetryAfter > 0 {
 		quiet := c.Stats.Quiet(now, n.RetryAfter)
 		log.Log(event.EndpointQuiet, "endpoint", c.ID, "incarnation", c.Incarnation, "quiet_ms", quiet.Milliseconds(), "source", source, "request_id", requestID)
