soak: an endpoint's stated limit holds over all VMs, red

Each may get 29 in 4 s, over all VMs; a service must get at least a quarter of what its endpoints take; after the end of the limits traffic must be back.

--- a/soak/standin_test.go
+++ b/soak/standin_test.go
@@ -82,6 +82,7 @@
 	// leaving is true while the endpoint says in its responses, and only there, that it leaves.
 	leaving bool
 	notices notices
+	limit   statedLimit
 	// drainAckedAt is when a control VM first acknowledged an announcement with the state draining; zero if none did.
 	drainAckedAt    time.Time
 	resultCount     int // makes handles unique
@@ -110,6 +111,7 @@
 	mux.HandleFunc("POST /stage-free", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/", s.serve)
 	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.stateLimit(w)
 		if r.URL.Path != "/stage-free" {
 			s.lastCallMs.Store(time.Now().UnixMilli())
 		}
