quota: share the limits that endpoints state over all VMs

Endpoints that had said how many requests a second they take from all VMs together got as many as before (14 to 18 in 4 s where 11 or 12 are allowed). The class: a limit of the whole system, held by nobody.

A few VMs by rendezvous hashing share the limit, each with evenly spaced permits, which requests, retries, resumed streams and stage calls take. The statement travels with the state exchange both ways, the newest one holds, also that there is no limit any more. Two groups of VMs in a partition stay within one and a half times the limit.

--- a/control/cold.go
+++ b/control/cold.go
@@ -7,7 +7,6 @@
 	"godwitplank/document"
 	"godwitplank/endpoint"
 	"godwitplank/event"
-	"godwitplank/rendezvous"
 	"godwitplank/route"
 )
 
@@ -97,14 +96,7 @@
 	if ok && known == now {
 		return known.share
 	}
-	members := c.entryVMs.names
-	if now.ofStage {
-		members = nil
-		if owner := rendezvous.First(rendezvous.Key(service.Name), c.entryVMs.dispatchers); owner != "" {
-			members = []string{owner}
-		}
-	}
-	now.share = cold.Share(rate, cold.Endpoint{ID: k.id, Incarnation: k.incarnation}, members, c.Name)
+	now.share = cold.Share(rate, cold.Endpoint{ID: k.id, Incarnation: k.incarnation}, c.callingVMs(service), c.Name)
 	if c.coldShares == nil {
 		c.coldShares = make(map[statsKey]coldShare)
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -114,6 +114,8 @@
 	endpoints          endpoint.Table
 	stats              map[statsKey]*route.Stats
 	coldShares         map[statsKey]coldShare
+	limits             map[statsKey]*knownLimit
+	limitsRevision     uint64
 	wasReady           bool // whether a view was ready since the start
 	vms                vm.Table
 	lastExpiry         time.Time
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -67,8 +67,10 @@
 	request := &link.ExchangeRequest{
 		Sender: from.describeSelf(), ReceiverIncarnation: p.synced.incarnation,
 		SpendSince: p.synced.spend, EndpointsSince: p.synced.endpoints, RenewalsSince: p.synced.renewals, OthersSince: p.synced.others,
-		Paces: from.pacesSince(p.pacesSentAt),
+		LimitsSince: p.synced.limits, Paces: from.pacesSince(p.pacesSentAt),
 	}
+	from.recordStatedLimits()
+	request.Limits, _ = from.limitsSince(p.sentLimitsRevision)
 	request.Departures = from.departures()
 	request.EvacuationVersion = from.evacuations.set.Version
 	from.addCrashEvidence(from.Clock.Now(), p, request)
--- a/control/peer.go
+++ b/control/peer.go
@@ -50,7 +50,7 @@
 // syncRevisions holds the revisions up to which another VM's state was received. They are valid for one incarnation of
 // that VM.
 type syncRevisions struct {
-	incarnation, spend, endpoints, renewals, others uint64
+	incarnation, spend, endpoints, renewals, others, limits uint64
 }
 
 // fullListInterval is the time between two requests for a peer's full list of VMs. It refreshes VMs that are known only
@@ -77,6 +77,8 @@
 	callsOnly bool
 	// sentSpendRevision is the revision up to which this VM's own spend counters were sent to the peer.
 	sentSpendRevision uint64
+	// sentLimitsRevision is the revision up to which the limits that endpoints state were sent; 0 if the peer has restarted since.
+	sentLimitsRevision uint64
 	// pacesSentAt is when this VM last sent the paces that it observed.
 	pacesSentAt time.Time
 	// crashesSentAt is when this VM last sent the crashed runs that it observed; zero if the peer has restarted since.
@@ -240,7 +242,7 @@
 func (c *Control) exchange(ctx context.Context, p *peer) time.Duration {
 	pause := exchangeInterval
 	var request *link.ExchangeRequest
-	var sentRevision uint64
+	var sentRevision, sentLimits uint64
 	if c.do(ctx, func() {
 		if c.Clock.Now().Sub(p.fullListRequestedAt) > fullListInterval {
 			p.fullListRequestedAt = c.Clock.Now()
@@ -248,8 +250,10 @@
 		}
 		request = &link.ExchangeRequest{
 			Sender: c.describeSelf(), ReceiverIncarnation: p.synced.incarnation,
-			SpendSince: p.synced.spend, EndpointsSince: p.synced.endpoints, RenewalsSince: p.synced.renewals, OthersSince: p.synced.others,
+			SpendSince: p.synced.spend, EndpointsSince: p.synced.endpoints, RenewalsSince: p.synced.renewals, OthersSince: p.synced.others, LimitsSince: p.synced.limits,
 		}
+		c.recordStatedLimits()
+		request.Limits, sentLimits = c.limitsSince(p.sentLimitsRevision)
 		request.Spend, sentRevision = c.localSpendSince(p.sentSpendRevision)
 		request.Paces = c.pacesSince(p.pacesSentAt)
 		request.Departures = c.departures()
@@ -272,6 +276,7 @@
 	_ = c.do(ctx, func() {
 		pause = c.pauseBetweenExchanges(sentAt, p)
 		p.crashesSentAt = sentAt
+		p.sentLimitsRevision = sentLimits
 		c.handleExchangeReply(p, sentAt, reply)
 		p.sentSpendRevision, p.pacesSentAt = sentRevision, sentAt
 		c.startTransfer()
@@ -317,10 +322,11 @@
 	c.mergeSpend(r.Spend)
 	c.Crashes.Watch(now, r.SuspectParts)
 	c.Crashes.Adopt(now, decodeQuarantines(sentAt, r.Quarantines))
+	c.mergeLimits(now, r.Limits)
 	if p.synced.incarnation != r.Sender.GetIncarnation() {
-		p.crashesSentAt = time.Time{}
+		p.crashesSentAt, p.sentLimitsRevision = time.Time{}, 0
 	}
-	p.synced = syncRevisions{r.Sender.GetIncarnation(), r.SpendRevision, r.EndpointsRevision, r.RenewalsRevision, r.OthersRevision}
+	p.synced = syncRevisions{r.Sender.GetIncarnation(), r.SpendRevision, r.EndpointsRevision, r.RenewalsRevision, r.OthersRevision, r.LimitsRevision}
 	if !c.applyRenewals(sentAt, r.Renewals) {
 		p.synced.endpoints = 0
 	}
--- a/control/server.go
+++ b/control/server.go
@@ -39,7 +39,9 @@
 	c.mergePaces(r.Paces)
 	c.mergeCrashEvidence(now, r)
 	c.mergeDepartures(r.Departures)
-	since := syncRevisions{c.Incarnation, r.SpendSince, r.EndpointsSince, r.RenewalsSince, r.OthersSince}
+	c.mergeLimits(now, r.Limits)
+	c.recordStatedLimits()
+	since := syncRevisions{c.Incarnation, r.SpendSince, r.EndpointsSince, r.RenewalsSince, r.OthersSince, r.LimitsSince}
 	if r.ReceiverIncarnation != c.Incarnation {
 		since = syncRevisions{}
 	}
@@ -52,6 +54,7 @@
 	reply.SuspectParts = c.Crashes.Suspects(now)
 	reply.Quarantines = encodeQuarantines(now, c.Crashes.Quarantines(now))
 	reply.Group = withoutPositions(c.currentGroup())
+	reply.Limits, reply.LimitsRevision = c.limitsSince(since.limits)
 	reply.EvacuationState = c.describeEvacuations(r.EvacuationVersion)
 	return reply
 }
--- a/control/view.go
+++ b/control/view.go
@@ -167,6 +167,7 @@
 		return
 	}
 	c.updateCold(v, e, stats)
+	c.updateQuota(e, stats)
 	pools := v.Pools
 	if s.Evacuated {
 		pools = v.Evacuated
@@ -265,4 +266,5 @@
 			delete(c.coldShares, k)
 		}
 	}
+	c.pruneLimits(live)
 }
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -21,7 +21,7 @@
 		{Name: "godwitplank_endpoints", Description: "Endpoints by pool and state.", Read: d.readEndpoints},
 		{Name: "godwitplank_endpoints_quiet", Description: "Endpoints that asked this VM for no calls for a time that is not over.", Read: d.readQuiet},
 		{Name: "godwitplank_endpoints_cold", Description: "Endpoints of services that have just started and get few requests.", Read: d.readCold},
-		{Name: "godwitplank_endpoints_limited", Description: "Endpoints that last told this VM how many calls they take from all VMs.", Read: d.readLimited},
+		{Name: "godwitplank_endpoints_limited", Description: "Endpoints that state how many calls they take from all VMs, as this one knows.", Read: d.readLimited},
 		{Name: "godwitplank_endpoints_reporting_load", Description: "Endpoints whose responses to this VM stated their load in the last ten seconds.", Read: d.readReporting},
 		{Name: "godwitplank_endpoints_leaving", Description: "Endpoints that told this VM in a response that they leave, and whose announcements do not say so.", Read: d.readLeaving},
 		{Name: "godwitplank_prompt_quarantines", Description: "Sets of prompt parts that are kept from endpoints.", Read: d.readQuarantines},
@@ -165,7 +165,7 @@
 }
 
 func (d *Daemon) readLimited() []telemetry.Reading {
-	return d.countCandidates(func(s *route.Stats) bool { return s.StatedLimit().PerSecond > 0 })
+	return d.countCandidates(func(s *route.Stats) bool { return s.Quota.Limit() > 0 })
 }
 
 func (d *Daemon) readReporting() []telemetry.Reading {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -45,7 +45,7 @@
 	errInputsGone        = errors.New("a stage result that the request needs no longer exists")
 	errNotRun            = errors.New("the endpoint refused the request without running it")
 	errNotSealed         = errors.New("the response does not carry the endpoint's seal")
-	errPermitExpired     = errors.New("the endpoint is cold and the connection took longer than the permit for the call lasts")
+	errPermitExpired     = errors.New("the connection took longer than the permit for the call lasts, and there is no other one")
 	errUnconfirmedNotRun = errors.New("the response status suggests that the request did not run, but the endpoint did not confirm it")
 	errWrongRequestID    = errors.New("the response carries the id of another request")
 	errTruncated         = errors.New("the response ended before it was complete")
@@ -195,10 +195,10 @@
 		WithOutcome(godwitplank.NotRun, noEndpointRetryAfter)
 }
 
-// noCandidate returns errNoCandidate, or the same with the time until the first endpoint that is in a quiet or cold accepts calls.
+// noCandidate returns errNoCandidate, or the same with the time until the first endpoint that is in a quiet or without a permit accepts calls.
 func noCandidate(q route.Query, candidates []route.Candidate) error {
 	if until := route.FirstReturn(q, candidates); until.After(q.Now) {
-		return fault.New(fault.NoEndpoint, "the endpoints that could take the request asked for no calls or have just started; retry after the indicated delay").
+		return fault.New(fault.NoEndpoint, "the endpoints that could take the request asked for no calls, state a limit or have just started; retry after the indicated delay").
 			WithOutcome(godwitplank.NotRun, until.Sub(q.Now))
 	}
 	return errNoCandidate
@@ -250,8 +250,12 @@
 	return a, nil
 }
 
-// chooseCandidate selects an endpoint and takes the permit for a call if that is cold. It returns false if there is none.
+// chooseCandidate selects an endpoint and takes the permit for a call if that is cold or states a limit. It returns false if there is none.
 func (g *Gateway) chooseCandidate(ctx context.Context, x *exchange, a *attempt, q route.Query, candidates []route.Candidate) (c *route.Candidate, ok bool) {
+	if chosen := route.ChooseStale(q, candidates); chosen >= 0 && candidates[chosen].TakePermit(q.Now) {
+		a.uncachedTokens = route.Tokens(x.Prefix)
+		return &candidates[chosen], true
+	}
 	if x.service.Engine != nil {
 		if chosen := g.place(ctx, x, a, q, candidates); chosen >= 0 {
 			return &candidates[chosen], true
@@ -286,7 +290,7 @@
 		return outcome{err: err}
 	}
 	a.conn = conn
-	if !c.Stats.Schedule.Renew(a.started, g.Clock.Now()) {
+	if !c.RenewPermit(a.started, g.Clock.Now()) {
 		conn.Close()
 		return outcome{err: errPermitExpired}
 	}
--- a/piece/call.go
+++ b/piece/call.go
@@ -145,7 +145,7 @@
 		}
 		return &unsentError{err}
 	}
-	if !c.Stats.Schedule.Renew(started, d.Clock.Now()) {
+	if !c.RenewPermit(started, d.Clock.Now()) {
 		conn.Close()
 		return &unsentError{errPermitExpired}
 	}
@@ -171,8 +171,9 @@
 	return err
 }
 
-// errPermitExpired is the error of a call to a cold endpoint whose connection took longer than the permit for the call lasts.
-var errPermitExpired = errors.New("the permit for a call to a cold endpoint has expired")
+// errPermitExpired is the error of a call to an endpoint that is cold or states a limit, whose connection took longer than the
+// permit for the call lasts.
+var errPermitExpired = errors.New("the permit for a call to an endpoint has expired")
 
 // unsentError is a failure to get a connection. Nothing was sent, so no endpoint has counted the call as an attempt.
 type unsentError struct {
--- a/piece/held.go
+++ b/piece/held.go
@@ -70,7 +70,7 @@
 }
 
 // flushFrees sends the queued frees, one call per endpoint. A result that cannot be freed expires at its endpoint, as do
-// those at an endpoint that accepts no calls.
+// those at an endpoint that accepts no calls or states a limit.
 func (d *Dispatcher) flushFrees(ctx context.Context) {
 	d.mu.Lock()
 	frees := d.pendingFrees
@@ -87,6 +87,9 @@
 	for _, name := range services {
 		s := d.Services.Service(name)
 		for _, c := range d.Services.Holders(name) {
+			if c.Stats.Quota.Limit() > 0 {
+				continue // its permits are left to calls that run pieces
+			}
 			if handles := frees[c.Addr]; handles != nil && s != nil && c.Stats.Accepts(d.Clock.Now(), 0) && c.TakePermit(d.Clock.Now()) {
 				d.group.Go(func() { d.sendFrees(ctx, s, &c, handles) })
 			}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -129,7 +129,7 @@
 // prompts before it, the slowdown by the requests that run there, and the slowdown of those by this prompt.
 func (t *Tracker) load(now time.Time, s *route.Stats, uncached int) float64 {
 	cost := tieTokens * rand.Float64()
-	if s.Schedule.Cold(now) {
+	if s.Schedule.Cold(now) || s.Quota.Limit() > 0 {
 		// The VM that sends the prompt rarely holds the permit.
 		cost += avoidTokens
 	}
--- a/rendezvous/rendezvous.go
+++ b/rendezvous/rendezvous.go
@@ -33,3 +33,22 @@
 	x *= 0xc4ceb9fe1a85ec53
 	return x ^ x>>33
 }
+
+// Rank returns the number of members with a higher weight for a key than a member has, -1 if it is no member.
+func Rank(key uint64, members []string, member string) int {
+	own := Weight(key, member)
+	rank, found := 0, false
+	for _, m := range members {
+		if m == member {
+			found = true
+			continue
+		}
+		if weight := Weight(key, m); weight > own || (weight == own && m < member) {
+			rank++
+		}
+	}
+	if !found {
+		return -1
+	}
+	return rank
+}
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"godwitplank/cold"
+	"godwitplank/quota"
 )
 
 // Candidate is an endpoint of a pool that may receive calls until its lease ends.
@@ -49,6 +50,8 @@
 
 	// Schedule holds when this VM may send calls while the endpoint is cold.
 	Schedule cold.Schedule
+	// Quota holds when this VM may send calls while the endpoint states a limit.
+	Quota quota.Schedule
 }
 
 // Ejection time of a failing endpoint. It starts at minEjection and doubles with each consecutive failure.
--- a/route/cold.go
+++ b/route/cold.go
@@ -15,9 +15,15 @@
 	return changed
 }
 
-// TakePermit takes the permit for a call, and reports whether there is one. An endpoint that is not cold always has one.
+// TakePermit takes the permit for a call, and reports whether there is one. An endpoint that is neither cold nor states a limit
+// always has one.
 func (c *Candidate) TakePermit(now time.Time) bool {
-	return c.Stats.Schedule.Take(now)
+	return c.Stats.Quota.Permits(now) && c.Stats.Schedule.Take(now) && c.Stats.Quota.Take(now)
+}
+
+// RenewPermit reports whether a call whose permit was taken at a time may be sent now.
+func (c *Candidate) RenewPermit(taken, now time.Time) bool {
+	return c.Stats.Schedule.Renew(taken, now) && c.Stats.Quota.Renew(taken, now)
 }
 
 // rampFull reports whether the endpoint was cold and has as many calls of this VM as it should have: one more than it has completed
@@ -26,12 +32,14 @@
 	return !s.Schedule.Began().IsZero() && s.inFlight.Load() > s.completed.Load()
 }
 
-// returnsAt returns when an endpoint that accepts no calls now accepts the next one: after its quiet, and if it is cold, when this VM
-// may send again.
+// returnsAt returns when an endpoint that accepts no calls now accepts the next one: after its quiet, and if it is cold or states a
+// limit, when this VM may send again.
 func (s *Stats) returnsAt(now time.Time) time.Time {
 	at := s.QuietUntil()
-	if next := s.Schedule.Next(now); next.After(at) {
-		return next
+	for _, next := range []time.Time{s.Schedule.Next(now), s.Quota.Next(now)} {
+		if next.After(at) {
+			at = next
+		}
 	}
 	return at
 }
--- a/route/limit.go
+++ b/route/limit.go
@@ -23,6 +23,7 @@
 
 // StateLimit records that the endpoint takes a number of calls per second from all VMs together. It reports whether that is new.
 func (s *Stats) StateLimit(now time.Time, perSecond float64) bool {
+	s.Quota.Suspend(perSecond)
 	previous := s.stated.Swap(&StatedLimit{perSecond, now})
 	return previous == nil || previous.PerSecond != perSecond
 }
@@ -44,3 +45,14 @@
 	}
 	log.Log(event.EndpointUnlimited, "endpoint", c.ID, "incarnation", c.Incarnation, "limit", stated.PerSecond, "source", source, "request_id", requestID)
 }
+
+// ChooseStale returns the index of a usable endpoint with a limit that got no call of this VM for some time although it may, -1 if
+// there is none. Without calls this VM would not learn when the limit ends.
+func ChooseStale(q Query, candidates []Candidate) int {
+	for i := range candidates {
+		if c := &candidates[i]; c.Stats.Quota.Stale(q.Now) && usable(&q, c) && !c.Stats.ejected(q.Now.UnixNano()) && !q.Reach.Unreachable(q.Now, c.DataCentre) {
+			return i
+		}
+	}
+	return -1
+}
--- a/route/notice.go
+++ b/route/notice.go
@@ -77,9 +77,10 @@
 }
 
 // Accepts reports whether the endpoint may get a call beside inFlight others of this VM: it does not leave, is not in a quiet,
-// and after one it gets single calls until one succeeds. A cold endpoint gets a call only if there is a permit for it.
+// and after one it gets single calls until one succeeds. An endpoint that is cold or states a limit gets a call only if there is a
+// permit for it.
 func (s *Stats) Accepts(now time.Time, inFlight int64) bool {
-	if s.leaving.Load() || !s.Schedule.Permits(now) {
+	if s.leaving.Load() || !s.Schedule.Permits(now) || !s.Quota.Permits(now) {
 		return false
 	}
 	until := s.quietUntil.Load()
@@ -92,8 +93,8 @@
 	return until != 0 && now.UnixNano() >= until && s.quietUntil.CompareAndSwap(until, 0)
 }
 
-// FirstReturn returns when the first of the candidates accepts calls again that do not leave, and that are in a quiet or cold and
-// without a permit; zero if there is none.
+// FirstReturn returns when the first of the candidates accepts calls again that do not leave, and that are in a quiet or without a
+// permit; zero if there is none.
 func FirstReturn(q Query, candidates []Candidate) time.Time {
 	var first time.Time
 	for i := range candidates {
