piece: limit the response of a call by its pieces

From other operators: a faulty endpoint sent bytes that were no answer, without end; the machine that had called it kept them and ran out of memory. Heads and bodies of a single response were bounded here (connection.TestEndlessResponse) but a stage call read up to 4 MB, uncharged, and a VM has one such call for each slot of its services' endpoints.

A response now has 16 KB and 1 KB for each piece at most.

--- a/piece/call.go
+++ b/piece/call.go
@@ -99,7 +99,8 @@
 // exchange sends items to an endpoint and decodes its response.
 func (d *Dispatcher) exchange(ctx context.Context, s *document.Service, c *route.Candidate, items []Item) (Response, error) {
 	var response Response
-	err := d.roundTrip(ctx, s, c, d.Protocol.RunCall(c.ID, c.Addr.String(), items), func(r *http.Response, body []byte) (reusable bool, err error) {
+	limit := int64(baseResponseBytes + len(items)*pieceResponseBytes)
+	err := d.roundTrip(ctx, s, c, d.Protocol.RunCall(c.ID, c.Addr.String(), items), limit, func(r *http.Response, body []byte) (reusable bool, err error) {
 		if response, err = d.Protocol.DecodeRunResponse(r.StatusCode, r.Header, body); err == nil {
 			err = d.checkResults(response, len(items))
 		}
@@ -134,9 +135,9 @@
 	return nil
 }
 
-// roundTrip sends a call, reads the whole response and passes it to handle. The connection is closed unless handle reports that
+// roundTrip sends a call, reads the whole response, of at most limit bytes, and passes it to handle. The connection is closed unless handle reports that
 // it is reusable: after a refusal or a wrong response, the next bytes on it may belong to an earlier call.
-func (d *Dispatcher) roundTrip(ctx context.Context, s *document.Service, c *route.Candidate, call *connection.Call, handle func(r *http.Response, body []byte) (reusable bool, err error)) error {
+func (d *Dispatcher) roundTrip(ctx context.Context, s *document.Service, c *route.Candidate, call *connection.Call, limit int64, handle func(r *http.Response, body []byte) (reusable bool, err error)) error {
 	started := d.Clock.Now()
 	conn, err := d.Pool.Open(ctx, endpointKey(c), c.Addr, s.MaxConnections)
 	if err != nil {
@@ -155,7 +156,7 @@
 		r, err = conn.Receive(call.Method)
 	}
 	if err == nil {
-		body, err = connection.ReadBody(r, maxResponseBytes)
+		body, err = connection.ReadBody(r, limit)
 	}
 	if err != nil {
 		conn.Close()
--- a/piece/dispatcher.go
+++ b/piece/dispatcher.go
@@ -47,7 +47,10 @@
 	freeDelay = 25 * time.Millisecond
 	// dispatchInterval is how often the queues are dispatched without a new job or result.
 	dispatchInterval = 50 * time.Millisecond
-	maxResponseBytes = 4 << 20
+	// A response has at most baseResponseBytes and pieceResponseBytes for each piece, which carries a handle or a reason. A VM has
+	// as many responses in progress as the endpoints of its services have slots.
+	baseResponseBytes  = 16 << 10
+	pieceResponseBytes = 1 << 10
 )
 
 // Services looks up the endpoints and the configuration of services.
--- a/piece/held.go
+++ b/piece/held.go
@@ -100,7 +100,7 @@
 func (d *Dispatcher) sendFrees(ctx context.Context, s *document.Service, c *route.Candidate, handles []string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeoutMargin)
 	defer cancel()
-	err := d.roundTrip(ctx, s, c, d.Protocol.FreeCall(c.ID, c.Addr.String(), handles), func(r *http.Response, _ []byte) (bool, error) {
+	err := d.roundTrip(ctx, s, c, d.Protocol.FreeCall(c.ID, c.Addr.String(), handles), baseResponseBytes, func(r *http.Response, _ []byte) (bool, error) {
 		return r.StatusCode == http.StatusOK, nil
 	})
 	if err != nil {
