gateway: charge large events of streams to the caller's connection

Events above 16 KB are now charged like other responses; without memory the stream ends as truncated, and other callers are served. Smaller events are neither charged nor checked.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"godwitplank/connection"
 	"godwitplank/crash"
 	"godwitplank/route"
 	"godwitplank/timer"
@@ -18,21 +19,58 @@
 // maxEventBytes bounds one server-sent event.
 const maxEventBytes = 256 << 10
 
+// eventStepBytes is the step in which large events are charged. A smaller event is not: it is gone at once.
+const eventStepBytes = 16 << 10
+
 // streamEvent is one server-sent event: its unmodified bytes and its id.
 type streamEvent struct {
 	raw []byte
 	id  string
+	// charged is the memory that was charged for raw.
+	charged int64
+}
+
+// charge charges the memory of a large event. Since raw grows by doubling, twice its size is charged.
+func (e *streamEvent) charge(m connection.Memory) error {
+	for needed := 2 * int64(len(e.raw)); m.Grow != nil && len(e.raw) > eventStepBytes && e.charged < needed; {
+		step := max(eventStepBytes, needed-e.charged)
+		if err := m.Grow(step); err != nil {
+			return connection.ErrNoMemory
+		}
+		e.charged += step
+	}
+	return nil
+}
+
+// release returns the memory of an event.
+func (e *streamEvent) release(m connection.Memory) {
+	if e.charged > 0 {
+		m.Shrink(e.charged)
+		e.charged = 0
+	}
 }
 
 var errEventTooLong = errors.New("an event of the stream exceeds the size limit")
 
 // readEvent reads one event including the blank line that ends it. It returns io.EOF if the stream ended between events
-// and io.ErrUnexpectedEOF if it ended within one.
-func readEvent(r *bufio.Reader) (*streamEvent, error) {
-	e := &streamEvent{}
+// and io.ErrUnexpectedEOF if it ended within one. A large event stays charged until release; after an error nothing does.
+func readEvent(r *bufio.Reader, m connection.Memory) (e *streamEvent, err error) {
+	event := &streamEvent{}
+	defer func() {
+		if e == nil {
+			event.release(m)
+		}
+	}()
+	return event.read(r, m)
+}
+
+func (e *streamEvent) read(r *bufio.Reader, m connection.Memory) (*streamEvent, error) {
 	for {
 		line, err := r.ReadSlice('\n')
 		e.raw = append(e.raw, line...)
+		if chargeErr := e.charge(m); chargeErr != nil {
+			return nil, chargeErr
+		}
 		switch {
 		case len(e.raw) > maxEventBytes:
 			return nil, errEventTooLong
@@ -65,7 +103,7 @@
 // forwardStream relays the events of a stream and flushes each. After a resume it skips events that the caller already
 // received.
 func (g *Gateway) forwardStream(x *exchange, a *attempt, r *http.Response) outcome {
-	reader := bufio.NewReader(r.Body)
+	reader, m := bufio.NewReader(r.Body), x.memory()
 	flusher := http.NewResponseController(x.w)
 	pace := paceMeter{clock: g.Clock}
 	defer func() {
@@ -75,7 +113,7 @@
 	survived := false
 	gapTimeout := gapTimeoutFactor * time.Duration(x.route.TargetGapMS) * time.Millisecond
 	for {
-		e, err := readEvent(reader)
+		e, err := readEvent(reader, m)
 		if gapTimeout > 0 {
 			a.timer.Reset(gapTimeout)
 		}
@@ -95,6 +133,7 @@
 			g.startResponse(x, r)
 			g.releaseInputs(x)
 		} else if alreadySent(x.LastEventID, e.id) {
+			e.release(m)
 			continue
 		}
 		if pace.event(); !survived && pace.last.Sub(pace.first) >= crash.SurvivedAfter {
@@ -107,6 +146,7 @@
 		if _, err = x.w.Write(e.raw); err == nil {
 			err = flusher.Flush()
 		}
+		e.release(m)
 		if err != nil {
 			a.conn.Close()
 			return outcome{err: err, mayHaveRun: true}
