--- a/soak/operator_test.go
+++ b/soak/operator_test.go
@@ -30,16 +30,21 @@
 	stage := func(after ...int) map[string]any {
 		return map[string]any{"Service": "encoders", "After": after, "Bytes": 1000}
 	}
+	routes := []any{
+		route("once", "non_idempotent", "orders", 1, nil),
+		route("read", "idempotent", "orders", 2, nil),
+		route("chat", "streaming", "engines", 1, map[string]any{"TargetGapMs": 500}),
+		route("stream", "streaming", "engines", 2, map[string]any{
+			"TargetGapMs": 500, "StreamResume": true, "Stages": []any{stage(), stage(0)},
+		}),
+	}
+	// Some versions are much larger than others.
+	for i := range version % 3 * 300 {
+		routes = append(routes, route(fmt.Sprintf("unused-%d", i), "idempotent", "orders", 1, nil))
+	}
 	text, err := json.Marshal(map[string]any{
 		"Version": version,
-		"Routes": []any{
-			route("once", "non_idempotent", "orders", 1, nil),
-			route("read", "idempotent", "orders", 2, nil),
-			route("chat", "streaming", "engines", 1, map[string]any{"TargetGapMs": 500}),
-			route("stream", "streaming", "engines", 2, map[string]any{
-				"TargetGapMs": 500, "StreamResume": true, "Stages": []any{stage(), stage(0)},
-			}),
-		},
+		"Routes":  routes,
 		"Services": []any{
 			map[string]any{"Name": "orders", "MaxConnections": 200},
 			map[string]any{"Name": "engines", "MaxConnections": 200, "Engine": map[string]any{"Slots": 8, "KvCapacityTokens": 100000}},
