--- a/control/quota.go
+++ b/control/quota.go
@@ -52,6 +52,9 @@
 
 // recordStatedLimits keeps what endpoints said in responses to this VM.
 func (c *Control) recordStatedLimits() {
+	if !c.CallersAddr.IsValid() {
+		return // a VM without callers calls no endpoints
+	}
 	for k, s := range c.stats {
 		c.recordStatedLimit(k, s)
 	}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -66,6 +66,9 @@
 		time.Sleep(duration)
 		s.returnAsNew()
 	}},
+	{"let an endpoint state a limit", 3, func(h *harness, _ *testing.T, rng *rand.Rand, duration time.Duration) {
+		pickRandom(rng, h.endpoints).holdLimit(float64(1+rng.IntN(6)), limitContact+limitWindow+duration)
+	}},
 	{"let an endpoint ask for quiet", 3, func(h *harness, _ *testing.T, rng *rand.Rand, duration time.Duration) {
 		s := pickRandom(rng, h.endpoints)
 		s.mu.Lock()
--- a/soak/limit_test.go
+++ b/soak/limit_test.go
@@ -64,6 +64,27 @@
 	return largest
 }
 
+// holdLimit states a limit for a time, and records a violation if more requests than allowed arrive, unless the connections to
+// the endpoint were impaired: requests that they held back arrive at once.
+func (s *simulatedEndpoint) holdLimit(perSecond float64, duration time.Duration) {
+	s.mu.Lock()
+	held := s.limit.perSecond > 0
+	s.mu.Unlock()
+	if held {
+		return
+	}
+	changes := s.proxy.changeCount()
+	s.setLimit(perSecond)
+	bound := time.Now().Add(limitContact)
+	time.Sleep(duration)
+	arrivals := s.arrivalsSince(bound)
+	s.setLimit(0)
+	allowed := limitExcess*perSecond*limitWindow.Seconds() + limitSlack
+	if n := largestWindow(arrivals); float64(n) > allowed && s.proxy.changeCount() == changes {
+		s.checker.violation("endpoint %s got %d requests in %v with a limit of %v a second, %.1f are allowed", s.id, n, limitWindow, perSecond, allowed)
+	}
+}
+
 // arrivalsAt returns the requests at the endpoints of a service after a time, and the number of those endpoints.
 func (h *harness) arrivalsAt(service string, after time.Time) (requests, endpoints int) {
 	for _, s := range h.endpoints {
