route: a VM that was told of a limit by another VM notices its end

Found while reading: a VM recorded that an endpoint states no limit any more only if the endpoint had told it of one itself. The VM with the share may have it from another VM, and then it alone calls the endpoint: the limit would never have ended. TestStatedLimitReachesAllVMs, with the end seen by the VM with the share, failed (4 VMs still limited, 0 expected) and passes; TestStatedLimitHoldsOverAllVMs passes.

--- a/control/quota.go
+++ b/control/quota.go
@@ -84,7 +84,7 @@
 // mergeLimits keeps the limits that another VM knows, as of now.
 func (c *Control) mergeLimits(now time.Time, limits []*link.EndpointLimit) {
 	for _, l := range limits {
-		if l.PerSecond >= 0 {
+		if l.PerSecond == 0 || l.PerSecond >= route.MinLimit {
 			c.recordLimit(statsKey{l.EndpointId, l.Incarnation}, min(l.PerSecond, route.MaxLimit), now.Add(-time.Duration(max(0, l.AgeUs))*time.Microsecond))
 		}
 	}
--- a/control/quota_test.go
+++ b/control/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -86,6 +87,9 @@
 	limited, sharing := countLimited(vms, k)
 	is.Equal(limited, len(vms))
 	is.Equal(sharing, 1)
+	// Only the VM with the share calls the endpoint from now on, and it was told by another VM.
+	holder := slices.IndexFunc(vms, func(c *Control) bool { return c.stats[k].Quota.Permits(c.Clock.Now()) })
+	is.True(holder != 0)
 
 	restarted := newControl(t, "vm-b", 2)
 	restarted.applyDocument(documentOfService("language"))
@@ -101,7 +105,8 @@
 	}
 	is.Equal(hub.limits[k].perSecond, 1.2)
 
-	candidate.ObserveNoLimit(now.Add(time.Millisecond), event.Logger{}, "request", "r")
+	candidate.Stats = vms[holder].stats[k]
+	candidate.ObserveNoLimit(time.Now(), event.Logger{}, "request", "r")
 	for range 2 {
 		exchangeAll(hub, vms, peers)
 	}
--- a/route/limit.go
+++ b/route/limit.go
@@ -23,8 +23,8 @@
 
 // StateLimit records that the endpoint takes a number of calls per second from all VMs together. It reports whether that is new.
 func (s *Stats) StateLimit(now time.Time, perSecond float64) bool {
-	s.Quota.Suspend(perSecond)
 	previous := s.stated.Swap(&StatedLimit{perSecond, now})
+	s.Quota.Suspend(perSecond)
 	return previous == nil || previous.PerSecond != perSecond
 }
 
@@ -36,14 +36,17 @@
 	return StatedLimit{}
 }
 
-// ObserveNoLimit records and logs that the endpoint completed a call of the given source without stating a limit, which ends one that it
-// stated before.
+// ObserveNoLimit records and logs that the endpoint completed a call of the given source without stating a limit, which ends the one
+// that this or another VM was told of before.
 func (c *Candidate) ObserveNoLimit(now time.Time, log event.Logger, source, requestID string) {
-	stated := c.Stats.stated.Load()
-	if stated == nil || stated.PerSecond == 0 || !c.Stats.stated.CompareAndSwap(stated, &StatedLimit{At: now}) {
+	limit := c.Stats.Quota.Limit()
+	if limit == 0 {
 		return
 	}
-	log.Log(event.EndpointUnlimited, "endpoint", c.ID, "incarnation", c.Incarnation, "limit", stated.PerSecond, "source", source, "request_id", requestID)
+	previous := c.Stats.stated.Swap(&StatedLimit{At: now})
+	if previous == nil || previous.PerSecond > 0 {
+		log.Log(event.EndpointUnlimited, "endpoint", c.ID, "incarnation", c.Incarnation, "limit", limit, "source", source, "request_id", requestID)
+	}
 }
 
 // ChooseStale returns the index of a usable endpoint with a limit that got no call of this VM for some time although it may, -1 if
