control: TestEvacuationWithLeaderKilled waits for its port after a restart

The restarted VM needs the port that it had, and between its stop and its start a connection of another process had that port as its source.

--- a/control/evacuation_test.go
+++ b/control/evacuation_test.go
@@ -91,10 +91,13 @@
 func (v *voter) restart(t *testing.T) {
 	t.Helper()
 	v.stop()
-	l, err := net.Listen("tcp", v.addr.String())
-	if err != nil {
-		t.Fatal(err)
-	}
+	var l net.Listener
+	// A connection of another process may have the port as its source for a moment.
+	waitUntil(t, "a free port", func() bool {
+		var err error
+		l, err = net.Listen("tcp", v.addr.String())
+		return err == nil
+	})
 	v.start(t, l)
 }
 
