--- a/review/standin2/consumer.go
+++ b/review/standin2/consumer.go
@@ -10,6 +10,9 @@
 	"time"
 )
 
+// consumerKey is the key of all consumers, as in configuration.json.
+const consumerKey = "9dnn2ctnfzs989anu6ws"
+
 // consumer sends requests to the front of an entry machine, over kept channels of its own.
 type consumer struct {
 	script *script
@@ -26,7 +29,6 @@
 type answer struct {
 	id     string
 	status int
-	header http.Header
 	body   []byte
 	err    error
 }
@@ -35,9 +37,9 @@
 	return fmt.Sprintf("%016x", rand.Uint64())
 }
 
-// send sends a request and reads the whole answer.
-func (c *consumer) send(method, path string, deadline time.Duration, header map[string]string, body []byte) *answer {
-	a := &answer{id: newID()}
+// send sends a request with an id and reads the whole answer.
+func (c *consumer) send(id, method, path string, deadline time.Duration, header map[string]string, body []byte) *answer {
+	a := &answer{id: id}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, c.front+path, bytes.NewReader(body))
@@ -46,20 +48,20 @@
 		return a
 	}
 	r.Host = c.host
-	r.Header.Set("Request-Id", a.id)
+	r.Header.Set(names.RequestID, a.id)
 	r.Header.Set("Key", consumerKey)
-	r.Header.Set("Deadline-Remaining", fmt.Sprint(deadline.Milliseconds()))
+	r.Header.Set(names.Remaining, fmt.Sprint(deadline.Milliseconds()))
 	for name, value := range header {
 		r.Header.Set(name, value)
 	}
-	c.script.note("consumer sends request %s %s %s", a.id, method, path)
+	c.script.note("consumer sends request %s %s %s, %d bytes, pieces %s", a.id, method, path, len(body), header[names.Pieces])
 	response, err := c.client.Do(r)
 	if err != nil {
 		a.err = err
 		c.script.note("request %s: no answer: %v", a.id, err)
 		return a
 	}
-	a.status, a.header = response.StatusCode, response.Header
+	a.status = response.StatusCode
 	a.body, a.err = io.ReadAll(response.Body)
 	_ = response.Body.Close()
 	c.script.note("request %s: status %d, %d bytes, error %v", a.id, a.status, len(a.body), a.err)
--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
+	_ "embed" // for the configuration
 	"errors"
 	"fmt"
 	"io"
@@ -40,6 +40,8 @@
 	log            *os.File
 	command        *exec.Cmd
 	ended          chan struct{}
+	// peakMb is the most memory that was seen, ends is how often the process ended by itself.
+	peakMb, ends int
 }
 
 // deployment is a small deployment: control machines, entry machines and the runners' addresses.
@@ -180,13 +182,13 @@
 }
 
 // startAll starts all machines and sends the first configuration until it is accepted.
-func (d *deployment) startAll(c *configuration) error {
+func (d *deployment) startAll() error {
 	for _, m := range d.all() {
 		if err := d.start(m); err != nil {
 			return err
 		}
 	}
-	return d.configure(c, 20*time.Second)
+	return d.configure(20 * time.Second)
 }
 
 // awaitReady waits until all entry machines say that they are ready.
@@ -229,17 +231,16 @@
 	}
 }
 
-// configure sends a configuration to one control machine after another until one acknowledges it.
-func (d *deployment) configure(c *configuration, patience time.Duration) error {
-	body, err := json.Marshal(c)
-	if err != nil {
-		return err
-	}
+//go:embed configuration.json
+var configuration []byte
+
+// configure sends the configuration to one control machine after another until one acknowledges it.
+func (d *deployment) configure(patience time.Duration) error {
 	deadline := time.Now().Add(patience)
 	for i := 0; time.Now().Before(deadline); i++ {
 		m := d.controls[i%len(d.controls)]
-		status, _, err := d.call(m, http.MethodPut, "/config", body)
-		d.script.note("operator sends version %d to %s: status %d %v", c.Version, m.name, status, err)
+		status, _, err := d.call(m, http.MethodPut, "/config", configuration)
+		d.script.note("operator sends the configuration to %s: status %d %v", m.name, status, err)
 		if err == nil && status == http.StatusOK {
 			return nil
 		}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -18,7 +18,8 @@
 
 // cases are the scripts by their names.
 var cases = map[string]func(*script) error{
-	"stage-extra": playStageExtra,
+	"handle-break": playHandleBreak,
+	"piece-counts": playPieceCounts,
 }
 
 // script is one run of a case.
--- /dev/null
+++ b/review/standin2/names.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	_ "embed"
+	"encoding/json"
+)
+
+//go:embed names.json
+var namesText []byte
+
+// names are the headers and paths of the users' protocol.
+var names = func() (n struct {
+	RequestID   string `json:"request_id"`
+	Seal        string `json:"seal"`
+	Target      string `json:"target"`
+	NotExecuted string `json:"not_executed"`
+	Inputs      string `json:"inputs"`
+	Tokens      string `json:"tokens"`
+	Prefix      string `json:"prefix"`
+	Remaining   string `json:"remaining"`
+	Pieces      string `json:"pieces"`
+	PieceKey    string `json:"piece_key"`
+	Instances   string `json:"instances_path"`
+	Run         string `json:"run_path"`
+	Free        string `json:"free_path"`
+},
+) {
+	if err := json.Unmarshal(namesText, &n); err != nil {
+		panic(err)
+	}
+	return n
+}()
--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -20,8 +20,7 @@
 	addr        string
 	born        int64
 	listener    net.Listener
-	// serve handles a request. It returns false to close the channel.
-	serve func(c *channel, r *http.Request, body []byte) bool
+	serve       handler
 
 	mu       sync.Mutex
 	seq      int
@@ -29,17 +28,16 @@
 	channels map[*channel]struct{}
 }
 
+// handler handles a request. It returns false to close the channel.
+type handler func(c *channel, r *http.Request, body []byte) bool
+
 // channel is a channel to a runner.
 type channel struct {
 	net.Conn
-	number int
-	// extra is what a faulty runner still has to write a second time; the next call reads it.
-	extra []byte
-	write sync.Mutex
 }
 
 // addRunner starts a runner at an address of its own.
-func (d *deployment) addRunner(id, service string, slots int, serve func(r *runner) func(c *channel, request *http.Request, body []byte) bool) (*runner, error) {
+func (d *deployment) addRunner(id, service string, slots int, serve func(r *runner) handler) (*runner, error) {
 	r := &runner{deployment: d, id: id, service: service, slots: slots, born: time.Now().UnixMilli(), channels: make(map[*channel]struct{})}
 	r.addr = fmt.Sprintf("%s%d:%d", d.network, 21+d.runners, runnerPort)
 	d.runners++
@@ -55,12 +53,12 @@
 }
 
 func (r *runner) accept() {
-	for n := 1; ; n++ {
+	for {
 		c, err := r.listener.Accept()
 		if err != nil {
 			return
 		}
-		ch := &channel{Conn: c, number: n}
+		ch := &channel{c}
 		r.mu.Lock()
 		r.channels[ch] = struct{}{}
 		r.mu.Unlock()
@@ -79,13 +77,16 @@
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
+			if err != io.EOF {
+				r.deployment.script.note("%s cannot read a request and closes the channel: %v", r.id, err)
+			}
 			return
 		}
 		body, err := io.ReadAll(request.Body)
 		if err != nil {
 			return
 		}
-		if want := request.Header.Get("Target-Instance"); want != "" && want != r.id {
+		if want := request.Header.Get(names.Target); want != "" && want != r.id {
 			c.send(response(http.StatusMisdirectedRequest, http.Header{"Instance-Id": {r.id}}, nil))
 			continue
 		}
@@ -111,7 +112,7 @@
 			return
 		}
 		body, _ := json.Marshal(report)
-		status, _, err := r.deployment.call(r.deployment.controls[next], http.MethodPut, "/instances/"+r.id, body)
+		status, _, err := r.deployment.call(r.deployment.controls[next], http.MethodPut, names.Instances+r.id, body)
 		if err != nil || status != http.StatusOK {
 			next = (next + 1) % len(r.deployment.controls)
 			time.Sleep(200 * time.Millisecond)
@@ -134,8 +135,6 @@
 
 // send writes a whole answer.
 func (c *channel) send(answer []byte) {
-	c.write.Lock()
-	defer c.write.Unlock()
 	_, _ = c.Write(answer)
 }
 
--- a/review/standin2/stage.go
+++ b/review/standin2/stage.go
@@ -9,126 +9,71 @@
 	"time"
 )
 
+// Terms of a stage's runner, as in configuration.json.
+const (
+	stageCall  = 150 * time.Millisecond
+	stagePiece = 16 * time.Millisecond
+	stageKeep  = 4 * time.Second
+)
+
 // results holds what the runners of stages have made, for all runners of a deployment.
 type results struct {
-	mu       sync.Mutex
-	byHandle map[string]*result
-	next     int
-}
-
-// result is one result of a stage.
-type result struct {
-	request      string
-	stage, piece int
-	expires      time.Time
-	freed        bool
+	mu      sync.Mutex
+	expires map[string]time.Time
+	next    int
 }
 
 func newResults() *results {
-	return &results{byHandle: make(map[string]*result)}
+	return &results{expires: make(map[string]time.Time)}
 }
 
 // make stores a new result and returns its handle.
-func (s *results) make(addr, request string, stage, piece int, keep time.Duration) string {
+func (s *results) make(addr string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.next++
 	handle := fmt.Sprintf("%s/%08x", addr, s.next)
-	s.byHandle[handle] = &result{request: request, stage: stage, piece: piece, expires: time.Now().Add(keep)}
+	s.expires[handle] = time.Now().Add(stageKeep)
 	return handle
 }
 
-// find returns a copy of the result of a handle, and whether it still exists.
-func (s *results) find(handle string) (r result, exists bool) {
+// exist reports whether all results in a list of handles exist.
+func (s *results) exist(list string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	found := s.byHandle[handle]
-	if found == nil {
-		return result{}, false
+	for _, h := range strings.Split(list, ",") {
+		if h != "" && time.Now().After(s.expires[h]) {
+			return false
+		}
 	}
-	return *found, !found.freed && time.Now().Before(found.expires)
+	return true
 }
 
-func (s *results) free(handle string) {
+func (s *results) free(handles []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r := s.byHandle[handle]; r != nil {
-		r.freed = true
-	}
-}
-
-// stageRun is the body of POST /stage-run.
-type stageRun struct {
-	Items []struct {
-		ID           string `json:"Id"`
-		Stage, Piece int
-		Key          string
-		Inputs       []string
+	for _, h := range handles {
+		delete(s.expires, h)
 	}
 }
 
-// stageRunner is a stand-in for a runner of a stage.
+// stageRunner is a stand-in for a runner of a stage, with one slot.
 type stageRunner struct {
 	*runner
 	results *results
-	terms   pieces
-	// fault makes the runner write some answers once more; nil for none.
-	fault *extraFault
-	slot  chan struct{}
-}
-
-// extraFault says which answers of the faulty runners are written once more: each every-th one while it is on.
-type extraFault struct {
-	every int
-
-	mu      sync.Mutex
-	on      bool
-	answers int
-	extras  int
-}
-
-func (f *extraFault) set(on bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.on = on
-}
-
-// strikes counts an answer and reports whether it is written once more.
-func (f *extraFault) strikes() bool {
-	if f == nil {
-		return false
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.on {
-		return false
-	}
-	f.answers++
-	if f.answers%f.every != 0 {
-		return false
-	}
-	f.extras++
-	return true
-}
-
-func (f *extraFault) counts() (answers, extras int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.answers, f.extras
+	// spoils reports whether the next answer of a faulty runner has a line break after each handle; nil for a sound one.
+	spoils func() bool
+	slot   sync.Mutex
 }
 
 func (s *stageRunner) serve(c *channel, r *http.Request, body []byte) bool {
 	switch r.URL.Path {
-	case "/stage-run":
-		s.run(c, body)
-	case "/stage-free":
+	case names.Run:
+		c.send(response(http.StatusOK, http.Header{"Content-Type": {"application/json"}, "Server-Load": {"0,0,1"}}, s.run(body)))
+	case names.Free:
 		var request struct{ Handles []string }
 		_ = json.Unmarshal(body, &request)
-		for _, h := range request.Handles {
-			s.results.free(h)
-		}
-		s.deployment.script.note("%s channel %d: results freed: %s", s.id, c.number, strings.Join(request.Handles, " "))
-		s.writeExtra(c)
+		s.results.free(request.Handles)
 		c.send(response(http.StatusOK, nil, nil))
 	default:
 		c.send(response(http.StatusOK, http.Header{"Instance-Id": {s.id}}, nil))
@@ -136,37 +81,38 @@
 	return true
 }
 
-// run works on a call. An extra answer to the call before on the channel arrives when three quarters of the work are done.
-func (s *stageRunner) run(c *channel, body []byte) {
-	var request stageRun
+// run works on a call and returns the body of the answer.
+func (s *stageRunner) run(body []byte) []byte {
+	var request struct {
+		Items []struct {
+			ID           string `json:"Id"`
+			Stage, Piece int
+			Inputs       []string
+		}
+	}
 	_ = json.Unmarshal(body, &request)
-	s.slot <- struct{}{}
-	defer func() { <-s.slot }()
-	work := time.Duration((s.terms.CallMs + s.terms.ItemMs*float64(len(request.Items))) * float64(time.Millisecond))
-	time.Sleep(work * 3 / 4)
-	s.writeExtra(c)
-	time.Sleep(work - work*3/4)
+	s.slot.Lock()
+	defer s.slot.Unlock()
+	time.Sleep(stageCall + time.Duration(len(request.Items))*stagePiece)
 	var answer struct{ Items []map[string]string }
 	var made []string
+	lineBreak := ""
+	if s.spoils != nil && s.spoils() {
+		lineBreak = "\n"
+	}
 	for _, item := range request.Items {
-		h := s.results.make(s.addr, item.ID, item.Stage, item.Piece, time.Duration(s.terms.HandleS*float64(time.Second)))
-		answer.Items = append(answer.Items, map[string]string{"Handle": h})
-		made = append(made, item.ID+"="+h)
+		if !s.results.exist(strings.Join(item.Inputs, ",")) {
+			answer.Items = append(answer.Items, map[string]string{"Reason": "gone"})
+			continue
+		}
+		handle := s.results.make(s.addr)
+		made = append(made, fmt.Sprintf("%s/%d/%d", item.ID, item.Stage, item.Piece))
+		answer.Items = append(answer.Items, map[string]string{"Handle": handle + lineBreak})
 	}
 	text, _ := json.Marshal(answer)
-	message := response(http.StatusOK, http.Header{"Content-Type": {"application/json"}, "Server-Load": {"0,0,1"}}, text)
-	if s.fault.strikes() {
-		c.extra = message
-	}
-	s.deployment.script.note("%s channel %d: call done: %s", s.id, c.number, strings.Join(made, " "))
-	c.send(message)
-}
-
-// writeExtra writes the extra answer of a channel, if there is one.
-func (s *stageRunner) writeExtra(c *channel) {
-	if c.extra != nil {
-		s.deployment.script.note("%s channel %d: TROUBLE: the answer to the call before is written once more", s.id, c.number)
-		c.send(c.extra)
-		c.extra = nil
+	s.deployment.script.note("%s: call done, made %s", s.id, strings.Join(made, " "))
+	if lineBreak != "" {
+		s.deployment.script.note("%s: TROUBLE: this answer has a line break after each handle", s.id)
 	}
+	return text
 }
