--- a/review/standin2/handle_break.go
+++ b/review/standin2/handle_break.go
@@ -165,6 +165,9 @@
 	}
 	err = d.sendPrompts(sent)
 	s.summary("during the fault the faulty runners gave %d answers and spoiled %d of them", fault.answers, fault.spoiled)
+	if err == nil && s.trouble && fault.spoiled == 0 {
+		err = fmt.Errorf("no answer was spoiled")
+	}
 	return err
 }
 
