head, connection, platform: a text of one party cannot end the head of a message to another

The endpoint of the model ran requests without their body, Model, Token-Usage or Prompt-Prefix.

Cause: handles are joined into one field of the call to the model. DecodeRunResponse took any text as a handle, and Conn.Send wrote fields unchecked, so that the head ended at the line break.

Change: package head knows what a field and an element of a list may hold (httpguts, RFC 9110). A handle that is no such element makes the answer malformed: its pieces run elsewhere, its other results are freed, event 413 says which endpoint sent what, bounded and quoted, and a counter grows. Send refuses a head that its reader could take for two, whoever made the texts: nothing is sent, the caller gets 503 call_not_encodable (not run), nothing counts against the endpoint (event 520, a counter). Handles from another VM are checked as well, also their number.

Ruled out: refusing only control characters in handles (a comma makes two entries of one), and checking only where the head is written (the caller would get a refusal where another endpoint can run the piece).

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -15,16 +14,6 @@
 	"time"
 )
 
-// Call is one HTTP request to an endpoint. It is written unchanged, except that Content-Length is added.
-type Call struct {
-	Method string
-	// Target is the path and query of the request line.
-	Target string
-	Host   string
-	Header http.Header
-	Body   []byte
-}
-
 // Conn is an HTTP/1.1 connection to an endpoint. It carries one call at a time, without pipelining.
 type Conn struct {
 	// Reused is true if the connection carried an earlier call.
@@ -52,10 +41,13 @@
 const maxInlineBytes = 8 << 10
 
 // Send writes a call and reports whether any byte may have reached the endpoint. The connection is closed when ctx
-// ends.
+// ends. It returns an error that wraps ErrNotEncoded if the head of the call cannot be encoded.
 func (c *Conn) Send(ctx context.Context, call *Call) (sent bool, err error) {
+	message, err := call.encodeHead()
+	if err != nil {
+		return false, err
+	}
 	c.stopCancel = context.AfterFunc(ctx, func() { _ = c.raw.Close() })
-	message := call.encodeHead()
 	if len(message)+len(call.Body) <= maxInlineBytes {
 		n, err := c.raw.Write(append(message, call.Body...))
 		c.written.Store(err == nil)
@@ -70,22 +62,6 @@
 	return true, nil
 }
 
-func (c *Call) encodeHead() []byte {
-	var b bytes.Buffer
-	b.Grow(512 + min(len(c.Body), maxInlineBytes))
-	b.WriteString(c.Method + " " + c.Target + " HTTP/1.1\r\nHost: " + c.Host + "\r\n")
-	for name, values := range c.Header {
-		for _, v := range values {
-			b.WriteString(name + ": " + v + "\r\n")
-		}
-	}
-	if len(c.Body) > 0 || (c.Method != http.MethodGet && c.Method != http.MethodHead) {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(c.Body)) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	return b.Bytes()
-}
-
 // Receive reads the header of the next response to a call with the given method. It skips 1xx responses, and returns an
 // error if the headers exceed MaxHeadBytes.
 func (c *Conn) Receive(method string) (*http.Response, error) {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -38,6 +38,7 @@
 	DepartureNotRecorded  = Event{410, log.WarnLevel, "departure of an endpoint not recorded", "endpoint, incarnation, error", "nothing if the endpoint asks another VM; else check the group with group show"}
 	EndpointLimited       = Event{411, log.InfoLevel, "endpoint states how many calls it takes from all VMs", "endpoint, incarnation, limit, source, request_id", "nothing; if it lasts, the endpoint is overloaded: add endpoints of its service"}
 	EndpointUnlimited     = Event{412, log.InfoLevel, "endpoint no longer states a limit", "endpoint, incarnation, limit, source, request_id", "nothing"}
+	EndpointMalformed     = Event{413, log.WarnLevel, "response of an endpoint has a text that cannot be sent on", "endpoint, incarnation, service, source, request_id, part, text, reason, skipped", "correct the endpoint; what it did is run at another one where the route allows that"}
 	EndpointCold          = Event{420, log.InfoLevel, "endpoint is cold and gets few calls", "endpoint, incarnation, pool, left_ms, rate, share", "nothing; if rate is 0, the service's endpoints get no calls while they are cold: raise cold_slack"}
 	EndpointWarm          = Event{421, log.InfoLevel, "endpoint is no longer cold", "endpoint, incarnation", "nothing"}
 	RequestRefused        = Event{501, log.DebugLevel, "request refused", "request_id, workspace, pipeline, kind, outcome", "see the remedy of the kind"}
@@ -59,6 +60,7 @@
 	PlacementFailed       = Event{517, log.WarnLevel, "placement of a prompt by another VM failed", "request_id, service, peer, error", "nothing: this VM selected the endpoint; if it repeats, check whether the VM or the link to it failed"}
 	JobRefused            = Event{518, log.InfoLevel, "stage refused: no capacity in time", "request_id, service, stage, priority, pieces, held_ms, predicted_wait_ms, retry_after_ms, returned", "if it lasts, add endpoints of the service; predicted_wait_ms is -1 if no capacity is predicted"}
 	RequestNotStarted     = Event{519, log.InfoLevel, "request not started: a later stage has no capacity in time", "request_id, route, priority, due_ms, needed_ms, wait_ms, retry_after_ms, returned", "if it lasts, add endpoints of the service of the stage with the longest wait, see event 518"}
+	CallNotEncoded        = Event{520, log.WarnLevel, "call to an endpoint not sent: its head cannot be encoded", "endpoint, incarnation, service, source, request_id, part, text, reason, skipped", "correct the named part, for example the name of a workspace in the document; if an endpoint or another VM has sent it, report it"}
 	DocumentActivated     = Event{601, log.InfoLevel, "document activated", "document_version, digest", "nothing"}
 	DocumentRefused       = Event{602, log.InfoLevel, "document refused", "document_version, kind, message", "fix the document and submit it again"}
 	DocumentFetched       = Event{603, log.InfoLevel, "document fetched from another VM", "peer, document_version, bytes, took_ms", "nothing; event 601 follows if it is newer than the active one"}
@@ -74,10 +76,10 @@
 	RoleChanged, GroupStarted, MembershipChanged, SnapshotTaken, SnapshotInstalled, TailTruncated, LeadershipTransferred,
 	DiskFull, DiskWritable, SpendNotStored,
 	VMAlive, VMLost, ConnectionReset,
-	EndpointAnnounced, EndpointDraining, EndpointLost, EndpointConflict, EndpointEjected, EndpointLeaves, EndpointQuiet, EndpointQuietEnded, EndpointNoticeIgnored, DepartureNotRecorded, EndpointLimited, EndpointUnlimited,
+	EndpointAnnounced, EndpointDraining, EndpointLost, EndpointConflict, EndpointEjected, EndpointLeaves, EndpointQuiet, EndpointQuietEnded, EndpointNoticeIgnored, DepartureNotRecorded, EndpointLimited, EndpointUnlimited, EndpointMalformed,
 	EndpointCold, EndpointWarm,
 	RequestRefused, AnswerDropped, OutcomeUnknown,
-	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, BatchFinished, StageFinished, ResultNotReleased, DispatcherFailed, RequestAccepted, RetryRefused, PromptQuarantined, RequestQuarantined, CallersBounded, PlacementFailed, JobRefused, RequestNotStarted,
+	RequestSent, RequestAnswered, AttemptFailed, StreamResumed, BatchFinished, StageFinished, ResultNotReleased, DispatcherFailed, RequestAccepted, RetryRefused, PromptQuarantined, RequestQuarantined, CallersBounded, PlacementFailed, JobRefused, RequestNotStarted, CallNotEncoded,
 	DocumentActivated, DocumentRefused, DocumentFetched, DocumentFetchFailed,
 	EvacuationStarted, EvacuationEnded, EvacuationRefused,
 }
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -30,6 +30,7 @@
 	NoEndpoint         Kind = "no_endpoint"
 	StageFailed        Kind = "stage_failed"
 	PromptQuarantined  Kind = "prompt_quarantined"
+	CallNotEncodable   Kind = "call_not_encodable"
 	NoDocument         Kind = "no_document"
 	NoQuorum           Kind = "no_quorum"
 	OrderVoided        Kind = "order_voided"
@@ -68,6 +69,7 @@
 	NoEndpoint:         http.StatusServiceUnavailable,
 	StageFailed:        http.StatusBadGateway,
 	PromptQuarantined:  http.StatusServiceUnavailable,
+	CallNotEncodable:   http.StatusServiceUnavailable,
 	NoDocument:         http.StatusServiceUnavailable,
 	NoQuorum:           http.StatusServiceUnavailable,
 	OrderVoided:        http.StatusConflict,
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -97,6 +97,12 @@
 			}
 			break
 		}
+		if err := g.checkCall(x); err != nil {
+			if x.attempts == 0 {
+				return err
+			}
+			break
+		}
 		if x.delivered > 0 && !g.allowRetry(x) {
 			break
 		}
@@ -220,7 +226,7 @@
 	}
 	x.attempts++
 	o := g.call(ctx, x, a)
-	a.placement.End(o.err != nil && ctx.Err() == nil && !errors.Is(o.err, errInputsGone))
+	a.placement.End(o.err != nil && ctx.Err() == nil && !errors.Is(o.err, errInputsGone) && !errors.Is(o.err, connection.ErrNotEncoded))
 	if a.sent {
 		x.delivered++
 	}
@@ -298,12 +304,11 @@
 		a.timer = timer.NewAlarm(timeout, conn.Abort)
 		defer a.timer.Stop()
 	}
-	call := g.Protocol.EncodeCall(&Call{
-		Request: x.Request, Endpoint: c.ID, Workspace: x.workspace, Remaining: x.deadline.Sub(g.Clock.Now()),
-		Inputs: x.inputs, HasStages: len(x.route.Stages) > 0, LastEventID: x.LastEventID,
-	})
-	sent, err := conn.Send(ctx, call)
+	sent, err := conn.Send(ctx, g.encodeCall(x, c.ID))
 	a.sent = sent
+	if errors.Is(err, connection.ErrNotEncoded) {
+		g.reportNotEncoded(x, c, err)
+	}
 	if err != nil {
 		conn.Close()
 		return outcome{err: err, mayHaveRun: sent}
@@ -456,7 +461,7 @@
 	case errors.Is(o.err, errNotRun):
 		stats.Reject(now)
 		result = "not_run"
-	case errors.Is(o.err, errInputsGone) || errors.Is(o.err, connection.ErrConnectionLimit) || errors.Is(o.err, errPermitExpired):
+	case errors.Is(o.err, errInputsGone) || errors.Is(o.err, connection.ErrConnectionLimit) || errors.Is(o.err, errPermitExpired) || errors.Is(o.err, connection.ErrNotEncoded):
 		stats.Cancel(0)
 		result = "not_run"
 	default:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,7 @@
 	Forecasts Forecasts
 
 	refusals     event.Sampler
+	malformed    event.Sampler
 	inFlight     atomic.Int64
 	refusedEarly atomic.Int64
 	waited       waitedEstimator
@@ -253,6 +254,11 @@
 	if err := g.evacuationFault(x); err != nil {
 		return err
 	}
+	if len(x.route.Stages) > 0 {
+		if err := g.checkCall(x); err != nil {
+			return err
+		}
+	}
 	if err := g.checkCapacity(x); err != nil {
 		return err
 	}
--- a/piece/broker.go
+++ b/piece/broker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -159,9 +160,26 @@
 	case reply.Refused != "":
 		return nil, fault.New(fault.StageFailed, "%s", reply.Refused).WithOutcome(godwitplank.NotRun, time.Duration(reply.RetryAfterMs)*time.Millisecond)
 	}
+	if err := checkHandles(reply.Handles, j.Pieces); err != nil {
+		b.Free(j.Service, reply.Handles)
+		return nil, err
+	}
 	return reply.Handles, nil
 }
 
+// checkHandles checks the results that another VM, perhaps of an earlier build, returned for a number of pieces.
+func checkHandles(handles []string, pieces int) error {
+	if len(handles) != pieces {
+		return fmt.Errorf("the VM returned %d results for %d pieces", len(handles), pieces)
+	}
+	for _, h := range handles {
+		if err := CheckHandle(h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 var errOwnerGone = errors.New("the VM that dispatches the service's pieces is unknown or no longer alive; the job goes to another VM")
 
 // watchOwner cancels a call to the owner once the owner is no longer alive.
--- /dev/null
+++ b/piece/broker_test.go
@@ -0,0 +1,66 @@
+package piece
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+
+	"godwitplank/event"
+	"godwitplank/link"
+	"godwitplank/timer"
+)
+
+// ownerLinks connects to one other VM, which owns all services.
+type ownerLinks struct {
+	client link.LinkClient
+}
+
+func (l ownerLinks) LinkClient(context.Context, string) link.LinkClient { return l.client }
+func (ownerLinks) DispatcherVMs() []string                              { return []string{"vm-other"} }
+func (ownerLinks) SettleTime() time.Duration                            { return 0 }
+
+// fixedOwner answers each job with the same results.
+type fixedOwner struct {
+	link.LinkClient
+	handles []string
+	calls   int
+}
+
+func (o *fixedOwner) RunPieces(context.Context, *link.RunPiecesRequest, ...grpc.CallOption) (*link.RunPiecesReply, error) {
+	o.calls++
+	return &link.RunPiecesReply{Handles: o.handles}, nil
+}
+
+// Results from another VM, perhaps of an earlier build, go into a list in the head of a call, one for each piece. Wrong ones are not
+// used: the job is dispatched elsewhere.
+func TestResultsOfAnotherVM(t *testing.T) {
+	for name, c := range map[string]struct {
+		handles []string
+		used    bool
+	}{
+		"as they should be": {[]string{"10.0.0.1:1/a b", "10.0.0.1:1/ü"}, true},
+		"a line break":      {[]string{"10.0.0.1:1/a", "10.0.0.1:1/b\r\nX-Other: c"}, false},
+		"a comma":           {[]string{"10.0.0.1:1/a", "10.0.0.1:1/b,c"}, false},
+		"an empty one":      {[]string{"10.0.0.1:1/a", ""}, false},
+		"too few":           {[]string{"10.0.0.1:1/a"}, false},
+		"too many":          {[]string{"10.0.0.1:1/a", "10.0.0.1:1/b", "10.0.0.1:1/c"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			owner := &fixedOwner{handles: c.handles}
+			b := NewBroker("vm", ownerLinks{owner}, startDispatcher(t, 20, newEndpoint(t, "e-1")), timer.System, event.Logger{})
+			handles, err := b.Run(t.Context(), newJob("r", 2))
+			is.NoErr(err)
+			is.Equal(owner.calls, 1)
+			is.Equal(len(handles), 2)
+			is.Equal(handles[0] == c.handles[0], c.used)
+			if !c.used {
+				is.True(strings.Contains(handles[1], "/r-1-"))
+			}
+		})
+	}
+}
--- a/piece/call.go
+++ b/piece/call.go
@@ -11,6 +11,7 @@
 	"godwitplank/connection"
 	"godwitplank/document"
 	"godwitplank/event"
+	"godwitplank/head"
 	"godwitplank/route"
 )
 
@@ -111,11 +112,39 @@
 		return err == nil && !response.NotRun, err
 	})
 	if err != nil {
+		d.handleMalformed(s, c, items[0].RequestID, response, err)
 		return Response{}, err
 	}
 	return response, nil
 }
 
+// handleMalformed logs and counts a text that cannot be sent in a head, if err is about one. The other results of a response with
+// such a text are freed, unless they are those of an earlier call.
+func (d *Dispatcher) handleMalformed(s *document.Service, c *route.Candidate, requestID string, response Response, err error) {
+	var malformed *head.Error
+	if !errors.As(err, &malformed) {
+		return
+	}
+	e := event.EndpointMalformed
+	if errors.Is(err, connection.ErrNotEncoded) {
+		e = event.CallNotEncoded
+		d.Meter.RecordCallNotEncoded(s.Name)
+	} else {
+		d.Meter.RecordMalformedResponse(s.Name, "stage")
+	}
+	if skipped, ok := d.malformed.Allow(d.Clock.Now()); ok {
+		d.Log.Log(e, "endpoint", c.ID, "incarnation", c.Incarnation, "service", s.Name, "source", "stage", "request_id", requestID,
+			"part", malformed.Part, "text", malformed.Quoted(), "reason", malformed.Reason, "skipped", skipped)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range response.Results {
+		if d.held[r.Handle] == nil {
+			d.queueFree(r.Handle)
+		}
+	}
+}
+
 // checkResults returns an error for a response that cannot be the one to a call with n items. The responses of stages have no
 // request id, and a faulty endpoint may write an earlier one again.
 func (d *Dispatcher) checkResults(response Response, n int) error {
@@ -138,6 +167,9 @@
 // roundTrip sends a call, reads the whole response, of at most limit bytes, and passes it to handle. The connection is closed unless handle reports that
 // it is reusable: after a refusal or a wrong response, the next bytes on it may belong to an earlier call.
 func (d *Dispatcher) roundTrip(ctx context.Context, s *document.Service, c *route.Candidate, call *connection.Call, limit int64, handle func(r *http.Response, body []byte) (reusable bool, err error)) error {
+	if err := call.Check(); err != nil {
+		return &unsentError{err}
+	}
 	started := d.Clock.Now()
 	conn, err := d.Pool.Open(ctx, endpointKey(c), c.Addr, s.MaxConnections)
 	if err != nil {
@@ -176,7 +208,8 @@
 // permit for the call lasts.
 var errPermitExpired = errors.New("the permit for a call to an endpoint has expired")
 
-// unsentError is a failure to get a connection. Nothing was sent, so no endpoint has counted the call as an attempt.
+// unsentError is a failure to encode a call or to get a connection. Nothing was sent, so no endpoint has counted the call as an
+// attempt.
 type unsentError struct {
 	error
 }
--- a/piece/dispatcher.go
+++ b/piece/dispatcher.go
@@ -90,6 +90,8 @@
 	// calls is the context of the calls to endpoints; endCalls ends it.
 	calls    context.Context
 	endCalls context.CancelFunc
+	// malformed limits the log lines for texts that cannot be sent in a head.
+	malformed event.Sampler
 }
 
 // endpointState is the load and health of one endpoint incarnation.
--- a/piece/piece.go
+++ b/piece/piece.go
@@ -10,6 +10,7 @@
 
 	"godwitplank/connection"
 	"godwitplank/fault"
+	"godwitplank/head"
 	"godwitplank/route"
 )
 
@@ -56,6 +57,12 @@
 	Remaining time.Duration
 }
 
+// CheckHandle returns a *head.Error for a handle that could not be sent to an endpoint that needs its result: that gets the handles
+// of its inputs as a list.
+func CheckHandle(handle string) error {
+	return head.CheckElement("the handle of a result", handle)
+}
+
 // Outcome is Succeeded, or the reason why an item has no result.
 type Outcome int
 
@@ -92,7 +99,8 @@
 type Protocol interface {
 	// RunCall returns a call that runs items.
 	RunCall(endpoint, host string, items []Item) *connection.Call
-	// DecodeRunResponse decodes the response to a RunCall.
+	// DecodeRunResponse decodes the response to a RunCall. If CheckHandle refuses a handle, it returns an error that wraps a
+	// *head.Error, and the other results, which are to be freed.
 	DecodeRunResponse(status int, header http.Header, body []byte) (Response, error)
 	// FreeCall returns a call that frees results.
 	FreeCall(endpoint, host string, handles []string) *connection.Call
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -36,6 +36,8 @@
 	attempts       metric.Int64Counter
 	connections    metric.Int64Counter
 	fetches        metric.Int64Counter
+	malformed      metric.Int64Counter
+	notEncoded     metric.Int64Counter
 	requestSeconds metric.Float64Histogram
 	stageSeconds   metric.Float64Histogram
 	commitSeconds  metric.Float64Histogram
@@ -62,6 +64,8 @@
 		{"godwitplank_stage_attempts", "Stage calls by pool, cause and result.", &out.attempts},
 		{"godwitplank_connections_opened", "New connections to endpoints.", &out.connections},
 		{"godwitplank_document_fetches", "Transfers of the document from another VM by result.", &out.fetches},
+		{"godwitplank_malformed_responses", "Responses of endpoints with a text that cannot be sent on, by pool and source.", &out.malformed},
+		{"godwitplank_calls_not_encoded", "Calls to endpoints that were not sent since their head cannot be encoded, by pool.", &out.notEncoded},
 	} {
 		if *c.counter, err = m.Int64Counter(c.name, metric.WithDescription(c.description)); err != nil {
 			return nil, err
@@ -134,6 +138,23 @@
 	m.fetchSeconds.Record(context.Background(), elapsed.Seconds(), attributes)
 }
 
+// RecordMalformedResponse counts a response of an endpoint with a text that cannot be sent on. Source is stage, event or field: a
+// result of a stage, the id of an event, or a field of the head.
+func (m *Meter) RecordMalformedResponse(pool, source string) {
+	if m == nil || m.malformed == nil {
+		return
+	}
+	m.malformed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("pool", pool), attribute.String("source", source)))
+}
+
+// RecordCallNotEncoded counts a call to an endpoint that was not sent since its head cannot be encoded.
+func (m *Meter) RecordCallNotEncoded(pool string) {
+	if m == nil || m.notEncoded == nil {
+		return
+	}
+	m.notEncoded.Add(context.Background(), 1, metric.WithAttributes(attribute.String("pool", pool)))
+}
+
 // RecordConnection counts a new connection to an endpoint.
 func (m *Meter) RecordConnection() {
 	if m == nil || m.connections == nil {
