gateway: a stream is resumed although an event's id cannot be sent

Callers saw a stream that was broken off, on routes with resume, where an endpoint wrote a control byte into the id of an event and failed later: the id goes into the head of the call that resumes the stream, and no endpoint could read that.

Change: such an answer is malformed (event 413). The event is not passed on and the stream goes on at another endpoint after the event before; where none may, the event is passed on as it is and the stream is not resumed before an event with a valid id. Ids are trimmed of the space that a field cannot hold only, where Unicode space was.

Ruled out: pass the event on and resume after the last valid id (the caller would get events twice), and refuse such events on routes without resume (callers would lose answers that they get today).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -172,7 +172,7 @@
 	if ctx.Err() != nil || isNoCandidate(o.err) {
 		return false
 	}
-	if !x.firstByteAt.IsZero() && !x.route.Resume {
+	if !x.firstByteAt.IsZero() && (!x.route.Resume || x.unresumable) {
 		return false
 	}
 	if x.deadline.Sub(g.Clock.Now()) < minRetryTime {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,6 +113,8 @@
 	tried        []string
 	// firstByteAt is when the response to the caller started; zero before that.
 	firstByteAt time.Time
+	// unresumable is true once the caller has an event after which no endpoint could resume the stream.
+	unresumable bool
 	// longestPause is the longest time between two events of the response.
 	longestPause time.Duration
 	// answerBound ends the attempts before this VM's process ends, unless the response to the caller has started.
--- a/gateway/malformed.go
+++ b/gateway/malformed.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"godwitplank"
 	"godwitplank/connection"
@@ -33,6 +34,40 @@
 		WithOutcome(godwitplank.NotRun, 0)
 }
 
+// checkEventID returns an error for an event after which no stream could be resumed, since the call that resumes it has the id in its
+// head. Ids of streams that are not resumed may be any text.
+func (g *Gateway) checkEventID(x *exchange, a *attempt, id string) error {
+	if !x.route.Resume {
+		return nil
+	}
+	err := head.CheckValue("the id of an event", id)
+	if err != nil {
+		g.reportMalformed(x, a, "event", err)
+	}
+	return err
+}
+
+// mayResume reports whether another attempt is allowed after this one and there is an endpoint for it.
+func (g *Gateway) mayResume(x *exchange) bool {
+	now := g.Clock.Now()
+	switch {
+	case x.unresumable, x.attempts >= maxAttempts, x.possibleRuns+1 >= x.route.Attempts(), x.deadline.Sub(now) < minRetryTime:
+		return false
+	case g.Budget.Remaining(now, x.service.Name, len(x.view.EntryVMs)) <= 0:
+		return false
+	}
+	return slices.ContainsFunc(g.Views.View().Pools[x.service.Name], func(c route.Candidate) bool { return !slices.Contains(x.tried, c.ID) })
+}
+
+// reportMalformed logs and counts a text of a response that cannot be sent in a head. The source is event or field.
+func (g *Gateway) reportMalformed(x *exchange, a *attempt, source string, err error) {
+	g.Meter.RecordMalformedResponse(x.service.Name, source)
+	var malformed *head.Error
+	if errors.As(err, &malformed) {
+		g.logHeadError(event.EndpointMalformed, x, a.candidate, source, malformed)
+	}
+}
+
 // reportNotEncoded logs and counts a call that was not sent since its head cannot be encoded. The candidate is nil if none was
 // chosen.
 func (g *Gateway) reportNotEncoded(x *exchange, c *route.Candidate, err error) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -88,7 +88,7 @@
 			return e, nil
 		}
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			e.id = string(bytes.TrimSpace(value))
+			e.id = string(bytes.Trim(value, " \t"))
 		}
 	}
 }
@@ -101,7 +101,7 @@
 }
 
 // forwardStream relays the events of a stream and flushes each. After a resume it skips events that the caller already
-// received.
+// received. An event that could not be resumed after is not relayed if the stream can go on at another endpoint.
 func (g *Gateway) forwardStream(x *exchange, a *attempt, r *http.Response) outcome {
 	reader, m := bufio.NewReader(r.Body), x.memory()
 	flusher := http.NewResponseController(x.w)
@@ -128,6 +128,12 @@
 			a.conn.Close()
 			return outcome{err: truncated(err), mayHaveRun: true}
 		}
+		malformed := g.checkEventID(x, a, e.id)
+		if malformed != nil && g.mayResume(x) {
+			e.release(m)
+			a.conn.Close()
+			return outcome{err: malformed, mayHaveRun: true}
+		}
 		a.placement.First()
 		if x.firstByteAt.IsZero() {
 			g.startResponse(x, r)
@@ -140,8 +146,11 @@
 			survived = true
 			g.Crashes.RecordSurvival(pace.last, sharedParts(x.Prefix))
 		}
-		if e.id != "" {
-			x.LastEventID = e.id
+		switch {
+		case malformed != nil:
+			x.unresumable = true
+		case e.id != "":
+			x.LastEventID, x.unresumable = e.id, false
 		}
 		if _, err = x.w.Write(e.raw); err == nil {
 			err = flusher.Flush()
