document, endpoint: names that go into heads are checked where they are accepted

Callers would have seen: with a line break in the name, endpoints ran cut requests; with a space at an end, endpoints read another name than the operator gave. An endpoint whose id begins or ends with a space turned each call away, as its reader removes the space; a zone in an address went into Host, line breaks too.

Change: such a document is refused (422 with the field, the text and the remedy), as is such an announcement (400). A document that was accepted before stays active; its calls are refused one by one with call_not_encodable, as long as the name is what it is.

--- a/document/check.go
+++ b/document/check.go
@@ -1,12 +1,14 @@
 package document
 
 import (
+	"errors"
 	"fmt"
 	"path"
 	"regexp"
 	"slices"
 
 	"godwitplank/fault"
+	"godwitplank/head"
 )
 
 // Limits on the content of a document.
@@ -35,6 +37,14 @@
 	}
 }
 
+// checkFieldValue adds an error for a text that cannot be the value of a field in the head of a call to an endpoint.
+func (c *checker) checkFieldValue(fieldPath, value string) {
+	var malformed *head.Error
+	if errors.As(head.CheckValue(fieldPath, value), &malformed) {
+		c.addError(fieldPath, "%s %s", malformed.Quoted(), malformed.Reason)
+	}
+}
+
 // checkUnique adds an error if seen has the name already, and adds the name to seen.
 func (c *checker) checkUnique(seen map[string]bool, fieldPath, name string) {
 	if seen[name] {
@@ -99,6 +109,7 @@
 		fieldPath := fmt.Sprintf("workspaces[%d]", i)
 		if w.Unlimited {
 			c.checkPresent(fieldPath+".name", w.Name)
+			c.checkFieldValue(fieldPath+".name", w.Name)
 		} else {
 			c.checkName(fieldPath+".name", w.Name)
 		}
--- a/endpoint/check.go
+++ b/endpoint/check.go
@@ -9,6 +9,7 @@
 	"unicode/utf8"
 
 	"godwitplank"
+	"godwitplank/head"
 )
 
 // Limits on an announcement, which is relayed to all VMs.
@@ -31,6 +32,8 @@
 	switch {
 	case err != nil:
 		return addr, fmt.Errorf("address %.50q is not an ip:port", a.Address)
+	case addr.Addr().Zone() != "":
+		return addr, fmt.Errorf("address %.50q has a zone, which only its own machine knows", a.Address)
 	case addr.Port() == 0 || addr.Addr().IsUnspecified() || addr.Addr().IsMulticast():
 		return addr, fmt.Errorf("nothing can listen on address %s", addr)
 	case a.Sequence > maxCounter || a.Incarnation > maxCounter:
@@ -47,7 +50,8 @@
 			return addr, err
 		}
 	}
-	return addr, nil
+	// Calls name the endpoint in their head.
+	return addr, head.CheckValue("the endpoint id", a.EndpointID)
 }
 
 // CheckName returns an error for a name that is too long, or that cannot be sent in a header or to another VM.
