--- a/gateway/malformed.go
+++ b/gateway/malformed.go
@@ -42,7 +42,7 @@
 	}
 	err := head.CheckValue("the id of an event", id)
 	if err != nil {
-		g.reportMalformed(x, a, "event", err)
+		g.reportMalformed(x, a, err)
 	}
 	return err
 }
@@ -59,12 +59,12 @@
 	return slices.ContainsFunc(g.Views.View().Pools[x.service.Name], func(c route.Candidate) bool { return !slices.Contains(x.tried, c.ID) })
 }
 
-// reportMalformed logs and counts a text of a response that cannot be sent in a head. The source is event or field.
-func (g *Gateway) reportMalformed(x *exchange, a *attempt, source string, err error) {
-	g.Meter.RecordMalformedResponse(x.service.Name, source)
+// reportMalformed logs and counts the id of an event that cannot be sent in a head.
+func (g *Gateway) reportMalformed(x *exchange, a *attempt, err error) {
+	g.Meter.RecordMalformedResponse(x.service.Name, "event")
 	var malformed *head.Error
 	if errors.As(err, &malformed) {
-		g.logHeadError(event.EndpointMalformed, x, a.candidate, source, malformed)
+		g.logHeadError(event.EndpointMalformed, x, a.candidate, "event", malformed)
 	}
 }
 
--- a/head/head.go
+++ b/head/head.go
@@ -97,19 +97,3 @@
 func isSpaceOrControl(r rune) bool {
 	return r <= ' ' || r == '\x7f'
 }
-
-// RemoveInvalid removes the fields with a value that a reader may refuse together with the whole head, and returns an *Error for
-// each.
-func RemoveInvalid(h http.Header) []*Error {
-	var removed []*Error
-	for name, values := range h {
-		for _, v := range values {
-			if !httpguts.ValidHeaderFieldValue(v) {
-				removed = append(removed, &Error{"the field " + name, v, reasonControl})
-				delete(h, name)
-				break
-			}
-		}
-	}
-	return removed
-}
--- a/head/head_test.go
+++ b/head/head_test.go
@@ -87,13 +87,3 @@
 	}
 	compare(t, "testdata/requests.golden", b.String())
 }
-
-// Invalid fields are removed with all their values; the others stay as they are.
-func TestRemoveInvalid(t *testing.T) {
-	is := is.New(t)
-	h := http.Header{"Good": {"a", "b\tc", "\xe9"}, "Bad": {"a", "b\x00"}, "Empty": {""}}
-	removed := RemoveInvalid(h)
-	is.Equal(h, http.Header{"Good": {"a", "b\tc", "\xe9"}, "Empty": {""}})
-	is.Equal(len(removed), 1)
-	is.Equal(removed[0].Part, "the field Bad")
-}
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -138,8 +138,8 @@
 	m.fetchSeconds.Record(context.Background(), elapsed.Seconds(), attributes)
 }
 
-// RecordMalformedResponse counts a response of an endpoint with a text that cannot be sent on. Source is stage, event or field: a
-// result of a stage, the id of an event, or a field of the head.
+// RecordMalformedResponse counts a response of an endpoint with a text that cannot be sent on. Source is stage for the
+// result of a stage, or event for the id of an event.
 func (m *Meter) RecordMalformedResponse(pool, source string) {
 	if m == nil || m.malformed == nil {
 		return
