--- a/entry/submission.go
+++ b/entry/submission.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"github.com/gorilla/mux"
 
@@ -107,8 +108,9 @@
 // readIdempotencyKey reads the key and the attempt number from the request header.
 func (s *submission) readIdempotencyKey(job *pipeline.Job) *fault.Error {
 	job.Key = s.r.Header.Get(godwitplank.HeaderIdempotencyKey)
-	if job.Key == "" || len(job.Key) > maxKeyBytes {
-		return fault.New(fault.KeyRequired, "pipeline %s has a non-idempotent stage; send an Idempotency-Key header of 1 to %d bytes", job.Pipeline.Name, maxKeyBytes)
+	// The ledger of orders stores the key as UTF-8.
+	if job.Key == "" || len(job.Key) > maxKeyBytes || !utf8.ValidString(job.Key) {
+		return fault.New(fault.KeyRequired, "pipeline %s has a non-idempotent stage; send an Idempotency-Key header of 1 to %d bytes in UTF-8", job.Pipeline.Name, maxKeyBytes)
 	}
 	text := s.r.Header.Get(godwitplank.HeaderAttempt)
 	if text == "" {
--- a/piece/broker.go
+++ b/piece/broker.go
@@ -71,6 +71,10 @@
 // Run has a job dispatched by the owner of its service, or by this VM after maxOwnerAttempts failures. It returns the
 // handles of the results in the order of the pieces.
 func (b *Broker) Run(ctx context.Context, j *Job) ([]string, error) {
+	// VMs send each other UTF-8 only, so that the owner would be blamed for a job that cannot be sent.
+	if err := j.check(); err != nil {
+		return nil, err
+	}
 	for range maxOwnerAttempts {
 		owner := b.owner(j.Service)
 		handles, err := b.runOn(ctx, owner, j)
--- a/piece/broker_test.go
+++ b/piece/broker_test.go
@@ -8,8 +8,10 @@
 
 	"github.com/matryer/is"
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 
 	"godwitplank/event"
+	"godwitplank/fault"
 	"godwitplank/link"
 	"godwitplank/timer"
 )
@@ -30,8 +32,11 @@
 	calls   int
 }
 
-func (o *fixedOwner) RunPieces(context.Context, *link.RunPiecesRequest, ...grpc.CallOption) (*link.RunPiecesReply, error) {
+func (o *fixedOwner) RunPieces(_ context.Context, r *link.RunPiecesRequest, _ ...grpc.CallOption) (*link.RunPiecesReply, error) {
 	o.calls++
+	if _, err := proto.Marshal(r); err != nil {
+		return nil, err
+	}
 	return &link.RunPiecesReply{Handles: o.handles}, nil
 }
 
@@ -64,3 +69,31 @@
 		})
 	}
 }
+
+// A job whose texts are not UTF-8 cannot be sent to the owner, nor to an endpoint as JSON. It made the VM take one owner after the
+// other for failed, and the endpoint got another id. The job is refused at once, and the next one goes to the same owner.
+func TestJobThatIsNotUTF8(t *testing.T) {
+	for name, change := range map[string]func(*Job){
+		"request id": func(j *Job) { j.RequestID = "r\xff" },
+		"key":        func(j *Job) { j.Key = "\xe9" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			owner := &fixedOwner{handles: []string{"10.0.0.1:1/a"}}
+			b := NewBroker("vm", ownerLinks{owner}, startDispatcher(t, 20, newEndpoint(t, "e-1")), timer.System, event.Logger{})
+			j := newJob("r", 1)
+			change(j)
+			_, err := b.Run(t.Context(), j)
+			is.True(fault.Is(err))
+			is.Equal(fault.As(err).Kind, fault.BadRequest)
+			is.Equal(owner.calls, 0)
+			_, err = b.Dispatcher.Run(t.Context(), j) // a job that another VM sent
+			is.True(fault.Is(err))
+			j = newJob("r-ü", 1)
+			j.Key = "k-€"
+			handles, err := b.Run(t.Context(), j)
+			is.NoErr(err)
+			is.Equal(handles, owner.handles)
+		})
+	}
+}
--- a/piece/dispatcher.go
+++ b/piece/dispatcher.go
@@ -11,7 +11,6 @@
 	"godwitplank/connection"
 	"godwitplank/document"
 	"godwitplank/event"
-	"godwitplank/fault"
 	"godwitplank/retry"
 	"godwitplank/route"
 	"godwitplank/telemetry"
@@ -182,8 +181,8 @@
 // Run dispatches a job and returns the handles of its results in the order of its pieces. It fails with one of the errors of
 // this package, or with the cause of ctx once that ends.
 func (d *Dispatcher) Run(ctx context.Context, j *Job) ([]string, error) {
-	if j.Pieces < 0 || j.Pieces > MaxPieces {
-		return nil, errTooManyPieces(j.Pieces)
+	if err := j.check(); err != nil {
+		return nil, err
 	}
 	now := d.Clock.Now()
 	p := newPendingJob(j, now, PredictCallTime(d.Services.Service(j.Service), j.Pieces))
@@ -209,11 +208,6 @@
 	}
 }
 
-// errTooManyPieces returns the error of a job that is refused before anything is allocated for it.
-func errTooManyPieces(pieces int) error {
-	return fault.New(fault.BadRequest, "the stage has %d pieces; send at most %d", pieces, MaxPieces)
-}
-
 // abandon drops the queued pieces of a job and frees its results.
 func (d *Dispatcher) abandon(p *pendingJob) {
 	d.mu.Lock()
--- a/piece/piece.go
+++ b/piece/piece.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"time"
+	"unicode/utf8"
 
 	"godwitplank/connection"
 	"godwitplank/fault"
@@ -63,6 +64,19 @@
 	return head.CheckElement("the handle of a result", handle)
 }
 
+// check returns a fault for a job that no endpoint could run.
+func (j *Job) check() error {
+	switch {
+	case j.Pieces < 0 || j.Pieces > MaxPieces:
+		return fault.New(fault.BadRequest, "the stage has %d pieces; send at most %d", j.Pieces, MaxPieces)
+	case !utf8.ValidString(j.RequestID):
+		return fault.New(fault.BadRequest, "the request id %.50q is not UTF-8; send visible ASCII characters", j.RequestID)
+	case !utf8.ValidString(j.Key):
+		return fault.New(fault.BadRequest, "the key %.50q of the pieces is not UTF-8; send visible ASCII characters", j.Key)
+	}
+	return nil
+}
+
 // Outcome is Succeeded, or the reason why an item has no result.
 type Outcome int
 
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -118,8 +119,11 @@
 }
 
 // Place has the owner of the service select an engine. It returns nil if the caller has to select by itself: the owner did
-// not respond in time, or knows no usable engine.
+// not respond in time, or knows no usable engine, or the model is a text that VMs cannot send each other.
 func (b *Broker) Place(ctx context.Context, r *Request) *Placement {
+	if !utf8.ValidString(r.Model) {
+		return nil
+	}
 	owner := b.Owner(r.Service)
 	encoded := &link.PlacePromptRequest{Service: r.Service, Model: r.Model, Tried: r.Tried, DataCentre: r.DataCentre, InputBytes: r.InputBytes}
 	for _, p := range r.Parts {
--- a/placement/broker_test.go
+++ b/placement/broker_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 
 	"godwitplank/document"
 	"godwitplank/event"
@@ -33,6 +34,9 @@
 
 func (c client) PlacePrompt(ctx context.Context, r *link.PlacePromptRequest, _ ...grpc.CallOption) (*link.PlacePromptReply, error) {
 	c.vms.calls++
+	if _, err := proto.Marshal(r); err != nil {
+		return nil, err
+	}
 	if c.vms.down[c.name] {
 		return nil, errDown
 	}
@@ -135,3 +139,17 @@
 	asking.flush(t.Context())
 	asking.group.Wait()
 }
+
+// A model that is not UTF-8 cannot be sent to the owner. Such prompts made the VM take one owner after the other for failed.
+func TestModelThatIsNotUTF8(t *testing.T) {
+	is := is.New(t)
+	v := startVMs(time.Second)
+	for name, b := range v.brokers {
+		owner := b.Owner("llm")
+		r := request("s")
+		r.Model = "m\xff"
+		is.Equal(b.Place(t.Context(), r), nil)
+		is.Equal(b.Owner("llm"), owner)
+		is.True(v.brokers[name].Place(t.Context(), request("s")) != nil)
+	}
+}
