entry: no time series for pipelines that do not exist

The name of the pipeline in a caller's path was the label of a metric, whatever it was: each made a time series, without bound, and after one that is not UTF-8 the VM's metrics could not be read.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -209,7 +209,7 @@
 		outcome, kind = err.Outcome, string(err.Kind)
 		e.Log.Log(event.RequestRefused, "request_id", id, "pipeline", name, "kind", err.Kind, "outcome", err.Outcome)
 	}
-	e.Meter.RecordRequest(name, string(outcome), kind, e.Clock.Now().Sub(received))
+	e.Meter.RecordRequest(s.pipelineLabel(name), string(outcome), kind, e.Clock.Now().Sub(received))
 	s.respond(output, err)
 }
 
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -77,6 +77,15 @@
 	_ = stage.WriteEvent(s.w, "token", t)
 }
 
+// pipelineLabel returns the name of a pipeline as a metric label, empty if there is none of that name: a caller may send any text, and
+// each makes a time series, or one that is not UTF-8 makes all metrics unreadable.
+func (s *submission) pipelineLabel(name string) string {
+	if d := s.view.Document; d == nil || d.Pipeline(name) == nil {
+		return ""
+	}
+	return name
+}
+
 func (s *submission) startStream() {
 	if s.streamStarted {
 		return
