--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -60,6 +60,16 @@
 		s.rates = faultRates{}
 		s.mu.Unlock()
 	}},
+	{"let an endpoint spoil texts", 3, func(h *harness, _ *testing.T, rng *rand.Rand, duration time.Duration) {
+		s := pickRandom(rng, h.endpoints)
+		s.mu.Lock()
+		s.rates = faultRates{spoil: rng.Float64()}
+		s.mu.Unlock()
+		time.Sleep(duration)
+		s.mu.Lock()
+		s.rates = faultRates{}
+		s.mu.Unlock()
+	}},
 	{"let an endpoint leave without an announcement", 3, func(h *harness, _ *testing.T, rng *rand.Rand, duration time.Duration) {
 		s := pickRandom(rng, h.endpoints)
 		s.leave()
--- a/soak/standin_test.go
+++ b/soak/standin_test.go
@@ -31,6 +31,8 @@
 	// truncate closes the connection in the middle of an event, stall sends no more events but keeps the connection open; both
 	// are spread over the events of a stream.
 	truncate, stall float64
+	// spoil puts bytes that a head cannot hold behind handles, and behind ids of events, spread over the events of a stream.
+	spoil float64
 }
 
 // checker counts the runs of each request at all endpoints and collects violations of the system's guarantees.
@@ -222,11 +224,14 @@
 }
 
 func (s *simulatedEndpoint) serve(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.ReadAll(r.Body)
+	body, _ := io.ReadAll(r.Body)
 	if !s.isTarget(w, r) {
 		return
 	}
 	id := r.Header.Get("Request-Id")
+	if string(body) != "body of "+id {
+		s.checker.violation("request %s reached an endpoint with the body %q", id, body)
+	}
 	if r.Header.Get("Key") != "" || r.Header.Get("Tenant") != "crews" {
 		s.checker.violation("request %s reached an endpoint with the caller's key or with a wrong workspace", id)
 	}
@@ -288,7 +293,11 @@
 			<-r.Context().Done()
 			return
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", i, id, i)
+		eventID := strconv.Itoa(i)
+		if strings.HasPrefix(r.URL.Path, "/stream/") {
+			eventID = s.spoilEventID(eventID)
+		}
+		_, _ = fmt.Fprintf(w, "id: %s\ndata: %s-%d\n\n", eventID, id, i)
 		_ = controller.Flush()
 		time.Sleep(5 * time.Millisecond)
 	}
@@ -352,7 +361,7 @@
 			response.Items = append(response.Items, map[string]string{"Reason": "error"})
 			continue
 		}
-		response.Items = append(response.Items, map[string]string{"Handle": handle})
+		response.Items = append(response.Items, map[string]string{"Handle": s.spoilHandle(handle)})
 	}
 	_ = json.NewEncoder(w).Encode(response)
 }
--- a/soak/traffic_test.go
+++ b/soak/traffic_test.go
@@ -172,7 +172,8 @@
 			continue
 		}
 		n++
-		if event != fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, id, n) {
+		// A spoiled id is passed on where the stream cannot go on elsewhere.
+		if strings.Replace(event, spoiledByte, "", 1) != fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, id, n) {
 			c.checker.violation("%s got %q as event %d", id, event, n)
 			return
 		}
