piece: copies of answers give no request the results of another one

Cause: answers of stages have no request id. Only results that are held were compared, and one is freed some 100 ms after its answer; an answer without results passed. The connection was used again, and each call on it then read the answer to the one before.

A handle may come again from a new incarnation, or for the same piece.

Ruled out: one call a connection (a new connection for each call), the least time of a call (a copy may come at any time of it).

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -18,6 +18,8 @@
 type Conn struct {
 	// Reused is true if the connection carried an earlier call.
 	Reused bool
+	// OpenedAt is when the connection was opened.
+	OpenedAt time.Time
 
 	pool   *Pool
 	key    Key
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -90,7 +90,7 @@
 		p.OnOpen()
 	}
 	head := &HeadLimiter{Reader: raw}
-	return &Conn{pool: p, key: key, raw: raw, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}, nil
+	return &Conn{OpenedAt: p.Clock.Now(), pool: p, key: key, raw: raw, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}, nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a socket.
--- a/piece/dispatcher.go
+++ b/piece/dispatcher.go
@@ -83,6 +83,7 @@
 	endpoints    map[connection.Key]*endpointState
 	pendingFrees map[netip.AddrPort][]string // handles by endpoint address
 	held         map[string]*heldResult      // by handle
+	answers      answerMemory
 	flushSignal  chan struct{}
 	group        sync.WaitGroup
 	refusals     map[string]int // refused jobs by service, with LeastCost
--- a/piece/held.go
+++ b/piece/held.go
@@ -20,6 +20,7 @@
 
 // trackResult counts a result as memory of its endpoint until it is freed or expires.
 func (d *Dispatcher) trackResult(state *endpointState, handle string, bytes int64, expiresAt time.Time) {
+	d.untrackResult(handle) // an endpoint may use a handle again after a restart, or for the same piece
 	state.heldBytes += bytes
 	d.held[handle] = &heldResult{endpoint: state, bytes: bytes, expiresAt: expiresAt}
 }
@@ -100,8 +101,10 @@
 func (d *Dispatcher) sendFrees(ctx context.Context, s *document.Service, c *route.Candidate, handles []string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeoutMargin)
 	defer cancel()
-	err := d.roundTrip(ctx, s, c, d.Protocol.FreeCall(c.ID, c.Addr.String(), handles), baseResponseBytes, func(r *http.Response, _ []byte) (bool, error) {
-		return r.StatusCode == http.StatusOK, nil
+	err := d.roundTrip(ctx, s, c, d.Protocol.FreeCall(c.ID, c.Addr.String(), handles), baseResponseBytes, func(r *http.Response, body []byte) (reusable bool, err error) {
+		// The copy of an answer with results may come where the response is expected.
+		answer, err := d.Protocol.DecodeRunResponse(r.StatusCode, r.Header, body)
+		return r.StatusCode == http.StatusOK && (err != nil || len(answer.Results) == 0), nil
 	})
 	if err != nil {
 		d.Log.Log(event.ResultNotReleased, "handle", handles[0], "error", err.Error())
