--- a/piece/held.go
+++ b/piece/held.go
@@ -33,8 +33,10 @@
 	}
 }
 
-// expire drops results whose retention time is over, and the state of endpoints idle for longer than idleEndpointTTL.
+// expire drops results whose retention time is over, what is remembered of old answers, and the state of endpoints idle for longer
+// than idleEndpointTTL.
 func (d *Dispatcher) expire(now time.Time) {
+	d.answers.rotate(now)
 	for handle, r := range d.held {
 		if now.After(r.expiresAt) {
 			d.untrackResult(handle)
