soak: the test of stated limits has callers for each service

Traced: for 1.5 s, from half a second after the kill of the VM that dispatches the stages, no entry VM got any request (event 505: none at three VMs). All eight callers waited for their responses, each of a request with stages, since a caller sends all kinds in turn. So the test asked how much of a limit is used without offering load. A killed VM is without its shares for 2.1 s, until it is ready; the rest of the time its endpoints were used as they should be, encoders with 47 to 51 of 71.

Four callers for each kind are added; the bounds stay. More load makes the upper bound harder.

--- a/soak/limit_test.go
+++ b/soak/limit_test.go
@@ -140,6 +140,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, 43, 3, 5)
+			// A caller waits for its response, so that all callers of all kinds may wait for one service at a time.
+			h.callersOfKind = 4
 			h.runWithTraffic(8, func() {
 				const perSecond = 4
 				time.Sleep(time.Second)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -37,6 +37,8 @@
 	endpoints []*simulatedEndpoint
 	rng       *rand.Rand
 	seed      uint64
+	// callersOfKind is the number of callers that send one kind of request only, for each kind, beside those that send all kinds.
+	callersOfKind int
 }
 
 // services lists the configured services and how many endpoints each has.
@@ -97,6 +99,11 @@
 	for i := range callers {
 		wg.Go(func() { newCaller(i, h.cluster, h.checker, h.outcomes, h.seed).run(stop) })
 	}
+	for i := range h.callersOfKind * len(requestKinds) {
+		c := newCaller(callers+i, h.cluster, h.checker, h.outcomes, h.seed)
+		c.kinds = requestKinds[i%len(requestKinds) : i%len(requestKinds)+1]
+		wg.Go(func() { c.run(stop) })
+	}
 	wg.Go(func() { h.operator.run(stop, rand.New(rand.NewPCG(h.seed, 9))) })
 	scenario()
 	close(stop)
--- a/soak/traffic_test.go
+++ b/soak/traffic_test.go
@@ -28,7 +28,9 @@
 
 // caller sends requests over keep-alive connections and checks the responses.
 type caller struct {
-	name      string
+	name string
+	// kinds are the kinds of requests that it sends.
+	kinds     []string
 	cluster   *cluster
 	checker   *checker
 	outcomes  *outcomes
@@ -39,7 +41,7 @@
 
 func newCaller(i int, c *cluster, ch *checker, o *outcomes, seed uint64) *caller {
 	return &caller{
-		name: fmt.Sprintf("c%d", i), cluster: c, checker: ch, outcomes: o, rng: rand.New(rand.NewPCG(seed, uint64(1000+i))),
+		name: fmt.Sprintf("c%d", i), kinds: requestKinds, cluster: c, checker: ch, outcomes: o, rng: rand.New(rand.NewPCG(seed, uint64(1000+i))),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
 	}
 }
@@ -57,7 +59,7 @@
 		if !p.running() {
 			continue
 		}
-		c.sendNext(p, requestKinds[c.rng.IntN(len(requestKinds))])
+		c.sendNext(p, c.kinds[c.rng.IntN(len(c.kinds))])
 	}
 }
 
