--- a/connection/call_test.go
+++ b/connection/call_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 
@@ -76,3 +78,32 @@
 	is.Equal(received[0].Header["A"], []string{"x" + value, "y"})
 	is.Equal(received[0].ContentLength, int64(4))
 }
+
+// A call that is encoded is read as it was written, with nothing left for another one; any other call is refused.
+func FuzzCall(f *testing.F) {
+	f.Add("POST", "/a?b=c", "h.example:80", "X-Own", "a, b", []byte("body"))
+	f.Add("GET", "/", "[::1]:80", "X-Own", "a\r\nb: c", []byte{})
+	f.Add("POST", "/ HTTP/1.1\r\n\r\nGET /", "h", "Content-Length", "0", []byte("body"))
+	f.Fuzz(func(t *testing.T, method, target, host, name, value string, body []byte) {
+		is := is.New(t)
+		c := &Call{Method: method, Target: target, Host: host, Header: http.Header{name: {value}}, Body: body}
+		message, err := c.encodeHead()
+		if err != nil {
+			is.True(errors.Is(err, ErrNotEncoded))
+			return
+		}
+		reader := bufio.NewReader(bytes.NewReader(append(message, body...)))
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			// Go's reader wants more of a target and a host than that they end where they should.
+			is.True(!bytes.Contains(message[:len(message)-4], []byte("\r\n\r\n")))
+			return
+		}
+		got, err := io.ReadAll(r.Body)
+		is.NoErr(err)
+		is.Equal(string(got), string(body))
+		is.Equal(r.Method+" "+r.RequestURI, method+" "+target)
+		is.Equal(r.Header[http.CanonicalHeaderKey(name)][0], strings.Trim(value, " \t"))
+		is.Equal(reader.Buffered(), 0)
+	})
+}
