soak: all requests of the stop and departure tests have the body that endpoints expect

The check of bodies that came with TestSpoiledTexts failed TestAcknowledgedDepartureSurvivesKill and TestStopAnswersRequestsAtEndpoints in a whole run: their requests had a body of their own. Both pass again.

--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -50,13 +50,14 @@
 		return 0, err
 	}
 	defer conn.Close()
+	body := "body of " + r.id
 	_, err = fmt.Fprintf(conn, "POST /%s/x HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: %s\r\nKey: secret\r\n"+
-		"Piece-Count: %d,%d\r\nPiece-Key: key-%s\r\nPrompt-Prefix: aa:100,bb:50\r\nContent-Length: 4\r\n\r\n", r.kind, r.id, piecesPerStage, piecesPerStage, r.id)
+		"Piece-Count: %d,%d\r\nPiece-Key: key-%s\r\nPrompt-Prefix: aa:100,bb:50\r\nContent-Length: %d\r\n\r\n", r.kind, r.id, piecesPerStage, piecesPerStage, r.id, len(body))
 	if err != nil {
 		return 0, err
 	}
 	time.Sleep(r.bodyDelay)
-	if _, err = io.WriteString(conn, "body"); err != nil {
+	if _, err = io.WriteString(conn, body); err != nil {
 		return 0, err
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
