control: a VM without a document asks for its shares of limits; log when a leader knows all shares

A new leader grants nothing beyond what VMs report to hold until it has heard all of them or 5 s have passed, so that one VM that waits for its document delays it; a VM that restarted meanwhile and got a request before its first response holds nothing and answers 429 although the limit is not in use.

Change: only a VM whose document has no pipelines asks for none.

--- a/control/control.go
+++ b/control/control.go
@@ -124,6 +124,7 @@
 	knownGroup         *link.Group // newest state of the group that was received or, on the leader, built
 	replica            *replica
 	broker             workspace.Broker
+	sharesLoggedTerm   uint64 // Raft term of the last event about shares
 	brokerTerm         uint64 // Raft term in which broker was last reset; 0 forces a reset
 	lastTick           time.Time
 	spendCounters      spend.Counters
--- a/control/share.go
+++ b/control/share.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
+	"godwitplank/event"
 	"godwitplank/link"
 	"godwitplank/raft"
 	"godwitplank/timer"
@@ -36,9 +38,10 @@
 	var p *peer
 	var leader string
 	err := c.do(ctx, func() {
-		if c.document == nil || len(c.document.Pipelines) == 0 {
+		if c.document != nil && len(c.document.Pipelines) == 0 {
 			return // only requests to pipelines are limited
 		}
+		// Without a document this VM holds nothing, which a new leader has to know before it grants anything to the others.
 		c.Limiter.SetVMs(len(c.shareHolders()))
 		leader = c.guessLeader("")
 		p = c.peerFor(leader)
@@ -102,9 +105,21 @@
 		})
 	}
 	reply.Taken = true
-	for _, g := range c.broker.RequestGrants(now, r.Vm, c.shareHolders(), c.workspaceLimits, demands) {
+	holders := c.shareHolders()
+	for _, g := range c.broker.RequestGrants(now, r.Vm, holders, c.workspaceLimits, demands) {
 		reply.Grants = append(reply.Grants, &link.Grant{Workspace: g.Workspace, Rate: g.Rate, Slots: int64(g.Slots)})
 	}
+	c.logShares(now, term, holders)
+}
+
+// logShares logs, once a term, when this leader began to grant VMs more than they hold already, and which VMs had not reported what
+// that is.
+func (c *Control) logShares(now time.Time, term uint64, holders []string) {
+	if c.sharesLoggedTerm == term || !c.broker.LeasesKnown(now, holders) {
+		return
+	}
+	c.sharesLoggedTerm = term
+	c.Log.Log(event.SharesGranted, "term", term, "took_ms", c.broker.Age(now).Milliseconds(), "unreported", strings.Join(c.broker.Unreported(holders), ","))
 }
 
 // workspaceLimits returns a workspace's limits in the active document, zero for an unknown workspace.
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -23,6 +23,7 @@
 	DiskFull              = Event{208, log.ErrorLevel, "disk refuses writes for a lack of space", "what, suspended, refused, error", "free space on the disk of the data folder; the VM takes part again by itself"}
 	DiskWritable          = Event{209, log.InfoLevel, "disk takes writes again", "full_ms, refused", "nothing"}
 	SpendNotStored        = Event{210, log.WarnLevel, "spend counters not stored", "error", "repair the disk; the counters are stored later"}
+	SharesGranted         = Event{211, log.InfoLevel, "leader began to grant shares of limits beyond what VMs hold", "term, took_ms, unreported", "nothing; until then a VM that restarted may refuse requests within the limit; if it takes seconds, check the unreported VMs and the links to them"}
 	VMAlive               = Event{301, log.InfoLevel, "VM alive", "peer, data_centre, incarnation", "nothing"}
 	VMLost                = Event{302, log.WarnLevel, "VM lost", "peer, data_centre", "check whether the VM or the link to its data centre failed"}
 	ConnectionReset       = Event{303, log.InfoLevel, "unresponsive connection to a VM closed", "peer", "nothing; it is reopened. If it repeats, check the link"}
@@ -75,7 +76,7 @@
 var Catalogue = []Event{
 	Started, StopStarted, Stopped, Ready, Reloaded, ReloadRefused, StopStepFailed, LinesDropped, SettingClamped,
 	RoleChanged, GroupStarted, MembershipChanged, SnapshotTaken, SnapshotInstalled, TailTruncated, LeadershipTransferred,
-	DiskFull, DiskWritable, SpendNotStored,
+	DiskFull, DiskWritable, SpendNotStored, SharesGranted,
 	VMAlive, VMLost, ConnectionReset,
 	EndpointAnnounced, EndpointDraining, EndpointLost, EndpointConflict, EndpointEjected, EndpointLeaves, EndpointQuiet, EndpointQuietEnded, EndpointNoticeIgnored, DepartureNotRecorded, EndpointLimited, EndpointUnlimited, EndpointMalformed,
 	EndpointCold, EndpointWarm,
--- a/workspace/broker.go
+++ b/workspace/broker.go
@@ -30,7 +30,7 @@
 // returns the limits of a workspace, zero if it does not exist.
 func (b *Broker) RequestGrants(now time.Time, vm string, vms []string, limits func(workspace string) Amount, demands []Demand) []Grant {
 	b.lastRequest[vm] = now
-	leasesKnown := b.allLeasesKnown(now, vms)
+	leasesKnown := b.LeasesKnown(now, vms)
 	grants := make([]Grant, 0, len(demands))
 	requested := make(map[string]bool, len(demands))
 	for _, d := range demands {
@@ -62,17 +62,26 @@
 	return Grant{Workspace: d.Workspace, Amount: amount}
 }
 
-// allLeasesKnown reports whether every grant of an earlier leader has expired or been reported by its VM since Reset.
-func (b *Broker) allLeasesKnown(now time.Time, vms []string) bool {
-	if now.Sub(b.startedAt) > LeaseDuration+LeaseGrace {
-		return true
-	}
+// LeasesKnown reports whether every grant of an earlier leader has expired or been reported by its VM since Reset.
+func (b *Broker) LeasesKnown(now time.Time, vms []string) bool {
+	return now.Sub(b.startedAt) > LeaseDuration+LeaseGrace || len(b.Unreported(vms)) == 0
+}
+
+// Unreported returns the VMs that have not requested their shares since Reset, so that what they hold of an earlier leader's grants
+// is unknown.
+func (b *Broker) Unreported(vms []string) []string {
+	var out []string
 	for _, vm := range vms {
 		if _, ok := b.lastRequest[vm]; !ok {
-			return false
+			out = append(out, vm)
 		}
 	}
-	return true
+	return out
+}
+
+// Age returns the time since Reset.
+func (b *Broker) Age(now time.Time) time.Duration {
+	return now.Sub(b.startedAt)
 }
 
 // allocate returns the VM's demand with headroom, or its share in proportion to demand if the total demand exceeds the
