piece: give a job with which its dispatcher ended to one more VM only

A job that ends its dispatcher ended all entry VMs in turn.

Change: after two owners have ended with a job it is refused as not run. Ruled out: counting each broken connection, since resets of links would then refuse requests.

Measured: TestJobThatEndsItsOwner, 'the owners end': 4 owners at, then served locally; 2 now, then refused. Owners that cannot be reached and resets: served as before.

--- a/piece/broker.go
+++ b/piece/broker.go
@@ -8,7 +8,9 @@
 	"sync"
 	"time"
 
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 
 	"godwitplank"
@@ -65,8 +67,19 @@
 	return &Broker{VM: vm, Links: links, Dispatcher: dispatcher, Clock: clock, Log: log, flushSignal: make(chan struct{}, 1), lastOwned: make(map[string]time.Time)}
 }
 
-// maxOwnerAttempts is how many times a job is sent to an owner before this VM dispatches it.
-const maxOwnerAttempts = 6
+const (
+	// maxOwnerAttempts is how many times a job is sent to an owner before this VM dispatches it.
+	maxOwnerAttempts = 6
+	// maxEndedOwners is how many owners may end with a job before it is refused, as it may be what ends them.
+	maxEndedOwners = 2
+)
+
+// errOwnersEnded is returned for a job with which maxEndedOwners ended.
+var errOwnersEnded = fault.New(fault.StageFailed, "the VMs that dispatched the stage ended while they did, which the request may have caused; check their logs before it is sent again").
+	WithOutcome(godwitplank.NotRun, endedRetry)
+
+// endedRetry is the Retry-After of a job with which owners ended: they start again meanwhile.
+const endedRetry = 5 * time.Second
 
 // Run has a job dispatched by the owner of its service, or by this VM after maxOwnerAttempts failures. It returns the
 // handles of the results in the order of the pieces.
@@ -75,9 +88,10 @@
 	if err := j.check(); err != nil {
 		return nil, err
 	}
+	ended := 0
 	for range maxOwnerAttempts {
 		owner := b.owner(j.Service)
-		handles, err := b.runOn(ctx, owner, j)
+		handles, received, err := b.runOn(ctx, owner, j)
 		if err == nil || (fault.Is(err) && !errors.Is(err, ErrMoved)) || ctx.Err() != nil {
 			return handles, err
 		}
@@ -90,6 +104,11 @@
 			b.markSuspect(owner)
 		}
 		b.Log.Log(event.DispatcherFailed, "request_id", j.RequestID, "service", j.Service, "peer", owner, "error", err.Error())
+		if received && !b.responds(ctx, owner) {
+			if ended++; ended == maxEndedOwners {
+				return nil, errOwnersEnded
+			}
+		}
 	}
 	local := *j
 	local.LocalOnly = true
@@ -101,10 +120,24 @@
 	return errors.Is(err, ErrMoved) || status.Code(err) == codes.FailedPrecondition
 }
 
-// runOn has the owner, which may be this VM, dispatch a job.
-func (b *Broker) runOn(ctx context.Context, owner string, j *Job) ([]string, error) {
+// responds reports whether a VM whose connection broke responds on a new one, so that it has not ended.
+func (b *Broker) responds(ctx context.Context, vm string) bool {
+	client := b.Links.LinkClient(ctx, vm)
+	if client == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeoutMargin)
+	defer cancel()
+	_, err := client.FreePieces(ctx, &link.FreePiecesRequest{})
+	return err == nil
+}
+
+// runOn has the owner, which may be this VM, dispatch a job. received is true if the connection broke after the owner may have received
+// it.
+func (b *Broker) runOn(ctx context.Context, owner string, j *Job) (handles []string, received bool, err error) {
 	if owner == b.VM {
-		return b.Dispatcher.Run(ctx, j)
+		handles, err = b.Dispatcher.Run(ctx, j)
+		return handles, false, err
 	}
 	return b.runRemote(ctx, owner, j)
 }
@@ -138,37 +171,38 @@
 	b.suspects[vm] = b.Clock.Now().Add(suspectPeriod)
 }
 
-// runRemote sends a job to another VM, which dispatches it, and gives up as soon as that VM is no longer alive.
-func (b *Broker) runRemote(ctx context.Context, owner string, j *Job) ([]string, error) {
+// runRemote sends a job to another VM, which dispatches it, and gives up as soon as that VM is no longer alive. received is as in runOn.
+func (b *Broker) runRemote(ctx context.Context, owner string, j *Job) (handles []string, received bool, err error) {
 	client := b.Links.LinkClient(ctx, owner)
 	if client == nil {
-		return nil, errOwnerGone
+		return nil, false, errOwnerGone
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	b.group.Go(func() { b.watchOwner(ctx, cancel, owner) })
 	now := b.Clock.Now()
+	var connected peer.Peer // has no address if no connection could be opened
 	reply, err := client.RunPieces(ctx, &link.RunPiecesRequest{
 		Service: j.Service, RequestId: j.RequestID, Stage: int32(j.Stage), Pieces: int32(j.Pieces), Key: j.Key, Inputs: j.Inputs,
 		RemainingMs: j.Deadline.Sub(now).Milliseconds(), DueMs: j.Due.Sub(now).Milliseconds(), Priority: int32(j.Priority),
 		DataCentre: j.DataCentre, ResultBytes: j.ResultBytes, Holding: j.InputsHoldMemory, Returned: j.Returned,
-	})
+	}, grpc.Peer(&connected))
 	if err == nil {
 		b.forecasts.put(b.Clock.Now(), j.Service, reply.Forecast)
 	}
 	switch {
 	case err != nil:
-		return nil, err
+		return nil, connected.Addr != nil && status.Code(err) == codes.Unavailable, err
 	case reply.InputsGone:
-		return nil, ErrInputsGone
+		return nil, false, ErrInputsGone
 	case reply.Refused != "":
-		return nil, fault.New(fault.StageFailed, "%s", reply.Refused).WithOutcome(godwitplank.NotRun, time.Duration(reply.RetryAfterMs)*time.Millisecond)
+		return nil, false, fault.New(fault.StageFailed, "%s", reply.Refused).WithOutcome(godwitplank.NotRun, time.Duration(reply.RetryAfterMs)*time.Millisecond)
 	}
 	if err := checkHandles(reply.Handles, j.Pieces); err != nil {
 		b.Free(j.Service, reply.Handles)
-		return nil, err
+		return nil, false, err
 	}
-	return reply.Handles, nil
+	return reply.Handles, false, nil
 }
 
 // checkHandles checks the results that another VM, perhaps of an earlier build, returned for a number of pieces.
--- a/piece/broker_test.go
+++ b/piece/broker_test.go
@@ -2,14 +2,21 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
+	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
+	"godwitplank"
 	"godwitplank/event"
 	"godwitplank/fault"
 	"godwitplank/link"
@@ -97,3 +104,69 @@
 		})
 	}
 }
+
+// ownerVMs connects to several VMs.
+type ownerVMs struct {
+	clients map[string]link.LinkClient
+}
+
+func (l ownerVMs) LinkClient(_ context.Context, vm string) link.LinkClient { return l.clients[vm] }
+func (l ownerVMs) DispatcherVMs() []string                                 { return slices.Sorted(maps.Keys(l.clients)) }
+func (ownerVMs) SettleTime() time.Duration                                 { return 0 }
+
+// failingOwner breaks the connection of each job: it ends, or only its connection was reset, or it cannot be reached.
+type failingOwner struct {
+	link.LinkClient
+	received, ends bool
+	jobs           *int
+}
+
+func (o *failingOwner) RunPieces(_ context.Context, _ *link.RunPiecesRequest, options ...grpc.CallOption) (*link.RunPiecesReply, error) {
+	*o.jobs++
+	for _, option := range options {
+		if p, ok := option.(grpc.PeerCallOption); ok && o.received {
+			p.PeerAddr.Addr = &net.TCPAddr{}
+		}
+	}
+	return nil, status.Error(codes.Unavailable, "connection reset by peer")
+}
+
+func (o *failingOwner) FreePieces(context.Context, *link.FreePiecesRequest, ...grpc.CallOption) (*link.FreePiecesReply, error) {
+	if o.ends {
+		return nil, status.Error(codes.Unavailable, "connection refused")
+	}
+	return &link.FreePiecesReply{}, nil
+}
+
+// A job with which the VMs end that dispatch it is given to one more only: it may be what ends them. It is served if the VMs cannot be
+// reached, so that they never got it, and if only their connections were reset.
+func TestJobThatEndsItsOwner(t *testing.T) {
+	for name, c := range map[string]struct {
+		received, ends bool
+		jobs           int
+		served         bool
+	}{
+		"the owners end":              {received: true, ends: true, jobs: 2},
+		"the owners can't be reached": {ends: true, jobs: 4, served: true},
+		"the connections are reset":   {received: true, jobs: 4, served: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			jobs := 0
+			links := ownerVMs{clients: make(map[string]link.LinkClient)}
+			for i := range 4 {
+				links.clients[fmt.Sprint("vm-", i)] = &failingOwner{received: c.received, ends: c.ends, jobs: &jobs}
+			}
+			b := NewBroker("vm", links, startDispatcher(t, 20, newEndpoint(t, "e-1")), timer.System, event.Logger{})
+			handles, err := b.Run(t.Context(), newJob("r", 2))
+			is.Equal(jobs, c.jobs)
+			is.Equal(err == nil, c.served)
+			if c.served {
+				is.Equal(len(handles), 2)
+				return
+			}
+			is.Equal(fault.As(err).Kind, fault.StageFailed)
+			is.Equal(fault.As(err).Outcome, godwitplank.NotRun)
+		})
+	}
+}
