disk: no record has the start of another inside

Bodies hold what callers send, such as the inputs of orders. A torn record with many starts of records inside had a checksum computed from each of them, in quadratic time; one with a whole record inside was taken for a corrupt one, so that the VM did not start until its data folder was emptied.

Change: the start of a record inside a body is escaped, and its record has another form; all other records are as before, and those of earlier builds are read. Ruled out: checksums of ranges from those of prefixes, which mend the time only; a secret in the checksum, since identities of bootstrapped replicas can be guessed.

An older build does not read a record of the new form.

--- a/disk/log.go
+++ b/disk/log.go
@@ -21,14 +21,21 @@
 	headerBytes  = 12
 )
 
-// recordMagic starts each record, so that recovery can search for a valid record after a corrupt one, which
-// distinguishes corruption from a torn write.
-var recordMagic = []byte{0xd7, 'g', 'w', 0x0a}
+// Each record starts with recordPrefix and a byte for its form. No body contains the start of a record, so that recovery can
+// search for a valid record after a corrupt one, which distinguishes corruption from a torn write.
+var (
+	recordPrefix = []byte{0xd7, 'g', 'w'}
+	// plainForm is the form of a body without recordPrefix; most have none.
+	plainForm byte = 0x0a
+	// escapedForm is that of a body in which prefixEscape stands for each recordPrefix.
+	escapedForm  byte = 0x0b
+	prefixEscape      = append(bytes.Clone(recordPrefix), 0)
+)
 
 var crcTable = crc32.MakeTable(crc32.Castagnoli)
 
 // Log is the stored state of a replica: a snapshot file and a log file of the batches after it. A record in either is
-// recordMagic, the body's length and its CRC-32C (4 bytes each, little endian), and the body.
+// recordPrefix, its form, the body's length and its CRC-32C (4 bytes each, little endian), and the body.
 type Log struct {
 	folder *Folder
 	file   *os.File // nil while a full disk prevents its creation
@@ -195,24 +202,35 @@
 	if err != nil {
 		return nil, err
 	}
+	form := plainForm
+	if bytes.Contains(body, recordPrefix) {
+		body, form = bytes.ReplaceAll(body, recordPrefix, prefixEscape), escapedForm
+	}
 	record := make([]byte, headerBytes, headerBytes+len(body))
-	copy(record, recordMagic)
+	record[copy(record, recordPrefix)] = form
 	binary.LittleEndian.PutUint32(record[4:], uint32(len(body)))
 	binary.LittleEndian.PutUint32(record[8:], crc32.Checksum(body, crcTable))
 	return append(record, body...), nil
 }
 
-// decodeRecord returns the body of the record at the start of data, and false if the record is incomplete or corrupt.
-func decodeRecord(data []byte) ([]byte, bool) {
-	if len(data) < headerBytes || !bytes.Equal(data[:4], recordMagic) {
-		return nil, false
+// decodeRecord returns the body and the size of the record at the start of data, and false if the record is incomplete or corrupt.
+func decodeRecord(data []byte) (body []byte, size int, ok bool) {
+	if len(data) < headerBytes || !bytes.HasPrefix(data, recordPrefix) {
+		return nil, 0, false
+	}
+	form, length := data[len(recordPrefix)], int64(binary.LittleEndian.Uint32(data[4:]))
+	if (form != plainForm && form != escapedForm) || int64(len(data)) < headerBytes+length {
+		return nil, 0, false
+	}
+	body = data[headerBytes : headerBytes+length]
+	if crc32.Checksum(body, crcTable) != binary.LittleEndian.Uint32(data[8:]) {
+		return nil, 0, false
 	}
-	size := int64(binary.LittleEndian.Uint32(data[4:]))
-	if int64(len(data)) < headerBytes+size {
-		return nil, false
+	size = headerBytes + len(body)
+	if form == escapedForm {
+		body = bytes.ReplaceAll(body, prefixEscape, recordPrefix)
 	}
-	body := data[headerBytes : headerBytes+size]
-	return body, crc32.Checksum(body, crcTable) == binary.LittleEndian.Uint32(data[8:])
+	return body, size, true
 }
 
 func readSnapshot(folder string, stored *Stored) error {
@@ -224,7 +242,7 @@
 	if err != nil {
 		return err
 	}
-	body, ok := decodeRecord(data)
+	body, _, ok := decodeRecord(data)
 	if !ok {
 		return corruptionError(path, 0)
 	}
@@ -236,7 +254,7 @@
 func readBatches(data []byte, stored *Stored) (int64, error) {
 	offset := 0
 	for offset < len(data) {
-		body, ok := decodeRecord(data[offset:])
+		body, size, ok := decodeRecord(data[offset:])
 		if !ok {
 			if hasValidRecord(data[offset+1:]) {
 				return 0, corruptionError(logFile, offset)
@@ -250,19 +268,20 @@
 		if err := stored.replay(batch); err != nil {
 			return 0, err
 		}
-		offset += headerBytes + len(body)
+		offset += size
 	}
 	return int64(offset), nil
 }
 
-// hasValidRecord reports whether a valid record starts anywhere in data.
+// hasValidRecord reports whether a valid record starts anywhere in data. A body has no start of a record inside, unless it was
+// written by a build that did not escape it.
 func hasValidRecord(data []byte) bool {
 	for {
-		i := bytes.Index(data, recordMagic)
+		i := bytes.Index(data, recordPrefix)
 		if i < 0 {
 			return false
 		}
-		if _, ok := decodeRecord(data[i:]); ok {
+		if _, _, ok := decodeRecord(data[i:]); ok {
 			return true
 		}
 		data = data[i+1:]
