--- a/control/peer.go
+++ b/control/peer.go
@@ -266,6 +266,9 @@
 	callCtx, cancel := context.WithTimeout(ctx, p.exchangeLimit)
 	defer cancel()
 	reply, err := p.client().Exchange(callCtx, request)
+	if err == nil {
+		err = checkSender(reply.Sender)
+	}
 	p.adaptLimit(request, err)
 	if p.recordResult(err) {
 		c.Log.Log(event.ConnectionReset, "peer", p.addr.String())
--- a/control/server.go
+++ b/control/server.go
@@ -18,8 +18,8 @@
 
 // Exchange records the state in another VM's request and replies with this VM's state changes.
 func (c *Control) Exchange(ctx context.Context, r *link.ExchangeRequest) (*link.ExchangeReply, error) {
-	if r.Sender == nil || r.Sender.Name == "" {
-		return nil, status.Error(codes.InvalidArgument, "the sender is missing; send the VM's own description")
+	if err := checkSender(r.Sender); err != nil {
+		return nil, err
 	}
 	var reply *link.ExchangeReply
 	if err := c.do(ctx, func() { reply = c.buildExchangeReply(r) }); err != nil {
@@ -28,6 +28,14 @@
 	return reply, nil
 }
 
+// checkSender returns an error for an exchange without the description of the VM that sends it.
+func checkSender(v *link.VM) error {
+	if v.GetName() == "" {
+		return status.Error(codes.InvalidArgument, "the sender is missing; send the VM's own description")
+	}
+	return nil
+}
+
 // buildExchangeReply merges the sender's state and returns what changed since the revisions in the request. A sender
 // that has seen another incarnation of this VM gets the full state.
 func (c *Control) buildExchangeReply(r *link.ExchangeRequest) *link.ExchangeReply {
--- a/evacuation/state.go
+++ b/evacuation/state.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"time"
+	"unicode/utf8"
 )
 
 const (
@@ -37,7 +38,7 @@
 
 // ValidName reports whether a data centre's name has a valid form: that of the setting data_centre.
 func ValidName(name string) bool {
-	return name != "" && len(name) <= maxNameBytes && !strings.ContainsFunc(name, func(r rune) bool {
+	return name != "" && len(name) <= maxNameBytes && utf8.ValidString(name) && !strings.ContainsFunc(name, func(r rune) bool {
 		return r <= ' ' || r == ',' || r == '/' || r == 0x7f
 	})
 }
--- a/evacuation/state_test.go
+++ b/evacuation/state_test.go
@@ -39,9 +39,10 @@
 	full, accepted := s.Apply(Change{"dc-x", true, 1})
 	is.True(!accepted)
 	is.Equal(full, s)
-	for _, name := range []string{"", "a b", "a,b", "a/b", "a\nb", string(make([]byte, 200))} {
+	for _, name := range []string{"", "a b", "a,b", "a/b", "a\nb", string(make([]byte, 200)), "a\xff"} {
 		is.True(!ValidName(name))
 	}
+	is.True(ValidName("zürich-1"))
 }
 
 // VMs that get the sets of one log in any order and any number of times end with its last set: an old set that arrives
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/charmbracelet/log"
 	"github.com/goccy/go-yaml"
@@ -242,8 +243,8 @@
 }
 
 func setName(field *string, value string) error {
-	if value == "" || strings.ContainsAny(value, " ,/\t\n") {
-		return fmt.Errorf("%q is not a valid name; use one without spaces, commas and slashes", value)
+	if value == "" || strings.ContainsAny(value, " ,/\t\n") || !utf8.ValidString(value) {
+		return fmt.Errorf("%q is not a valid name; use one of UTF-8 without spaces, commas and slashes", value)
 	}
 	*field = value
 	return nil
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -45,6 +45,17 @@
 	is.True(s.Discover)
 }
 
+// A VM whose names are not UTF-8 could not describe itself to the others.
+func TestNameThatIsNotUTF8(t *testing.T) {
+	is := is.New(t)
+	for _, name := range []string{"vm", "data_centre"} {
+		_, err := read(t, "--"+name, "a\xff")
+		is.True(err != nil && strings.Contains(err.Error(), `"a\xff" is not a valid name`))
+		_, err = read(t, "--"+name, "zürich")
+		is.True(err == nil || !strings.Contains(err.Error(), `"zürich"`))
+	}
+}
+
 // The error lists every invalid setting with its flag, its environment variable and a remedy.
 func TestInvalidSettings(t *testing.T) {
 	is := is.New(t)
