document, setting: a text on which the YAML decoder panics is an error

Cause, found by FuzzParse within 9 s: the decoder panics on a tag before a mapping where a list belongs. A document that an operator submitted closed the connection without an answer; a settings file ended the start with a stack trace.

Change: the panic becomes the error of the text, with a remedy. Ruled out: another decoder (its own limits would have to be found again).

--- a/document/document.go
+++ b/document/document.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"path"
 	"time"
@@ -115,8 +116,7 @@
 		return nil, err
 	}
 	d := &Document{}
-	dec := yaml.NewDecoder(bytes.NewReader(text), yaml.DisallowUnknownField())
-	if err := dec.Decode(d); err != nil && !errors.Is(err, io.EOF) {
+	if err := decode(text, d); err != nil && !errors.Is(err, io.EOF) {
 		return nil, invalidDocument([]fault.FieldError{{Path: "document", Message: yaml.FormatError(err, false, false)}})
 	}
 	if err := d.Check(); err != nil {
@@ -125,6 +125,16 @@
 	return d, nil
 }
 
+// decode decodes YAML or JSON. The library panics on some malformed texts.
+func decode(text []byte, d *Document) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("the YAML is malformed (%v); check its tags, anchors and indentation", r)
+		}
+	}()
+	return yaml.NewDecoder(bytes.NewReader(text), yaml.DisallowUnknownField()).Decode(d)
+}
+
 // Check validates the document and builds its lookup indexes. Its error is a *fault.Error that lists all invalid fields.
 func (d *Document) Check() error {
 	if fieldErrors := d.fieldErrors(); len(fieldErrors) > 0 {
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -208,7 +208,7 @@
 		return nil, fmt.Errorf("--settings_file: %w; give a file that can be read", err)
 	}
 	var raw map[string]any
-	if err := yaml.Unmarshal(text, &raw); err != nil {
+	if err := decode(text, &raw); err != nil {
 		return nil, fmt.Errorf("--settings_file: %s is not a YAML mapping of settings: %w", path, err)
 	}
 	values := make(map[string]string, len(raw))
@@ -224,6 +224,16 @@
 	return values, nil
 }
 
+// decode decodes YAML. The library panics on some malformed texts.
+func decode(text []byte, values *map[string]any) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("malformed text (%v)", r)
+		}
+	}()
+	return yaml.Unmarshal(text, values)
+}
+
 // settingText returns a value of the settings file as the text of a flag. A mapping stands for the list of its keys.
 func settingText(value any) string {
 	mapping, ok := value.(map[string]any)
