platform, document, piece: numbers of a configuration do not overflow

Cause, found while FuzzConfiguration was written and run: numbers were converted to integers as they came. Beyond 64 bits the result depends on the processor: negative on x86-64, so that the configuration was refused, the largest integer on arm64, so that a time limit overflowed and each request of the route was late. A time limit below 1 ms was taken for 0 and refused.

--- a/document/route.go
+++ b/document/route.go
@@ -1,6 +1,7 @@
 package document
 
 import (
+	"math"
 	"sort"
 	"strings"
 	"time"
@@ -105,19 +106,29 @@
 	IdleTimeoutMS   int64 `json:"idle_timeout_ms,omitempty" yaml:"idle_timeout_ms"`
 }
 
+// milliseconds returns a duration, the longest one for a number that exceeds it.
+func milliseconds(n int64) time.Duration {
+	return time.Duration(min(n, math.MaxInt64/int64(time.Millisecond))) * time.Millisecond
+}
+
 // ColdStart returns how long an endpoint is cold after its start.
 func (s *Service) ColdStart() time.Duration {
-	return time.Duration(s.ColdStartMS) * time.Millisecond
+	return milliseconds(s.ColdStartMS)
+}
+
+// Keep returns how long an endpoint keeps a result after the call.
+func (b *Batch) Keep() time.Duration {
+	return milliseconds(b.KeepMS)
 }
 
 // Timeout returns the maximum time that a caller waits for the answer.
 func (r *Route) Timeout() time.Duration {
-	return time.Duration(r.TimeoutMS) * time.Millisecond
+	return milliseconds(r.TimeoutMS)
 }
 
 // TargetLatency returns the latency objective.
 func (r *Route) TargetLatency() time.Duration {
-	return time.Duration(r.TargetLatencyMS) * time.Millisecond
+	return milliseconds(r.TargetLatencyMS)
 }
 
 // Retryable reports whether a request may be retried after an attempt that may have run.
--- a/piece/call.go
+++ b/piece/call.go
@@ -264,7 +264,7 @@
 	for i, u := range units {
 		result := itemResult(response, err, i)
 		if result.Outcome == Succeeded {
-			d.trackResult(state, result.Handle, u.job.ResultBytes, now.Add(time.Duration(s.Batch.KeepMS)*time.Millisecond))
+			d.trackResult(state, result.Handle, u.job.ResultBytes, now.Add(s.Batch.Keep()))
 		}
 		if u.job.ended {
 			d.queueFree(result.Handle)
--- a/piece/capacity.go
+++ b/piece/capacity.go
@@ -72,7 +72,7 @@
 		r.CallTime = time.Duration(float64(r.CallTime) * slowdown)
 		r.PieceTime = time.Duration(float64(r.PieceTime) * slowdown)
 	}
-	if keep := time.Duration(s.Batch.KeepMS) * time.Millisecond; keep > 0 {
+	if keep := s.Batch.Keep(); keep > 0 {
 		// Results that nobody frees expire, so that memory becomes free at this rate at least.
 		r.FreedPerSecond = max(r.FreedPerSecond, float64(r.TotalBytes-r.FreeBytes)/keep.Seconds())
 	}
--- a/piece/dispatch.go
+++ b/piece/dispatch.go
@@ -11,13 +11,17 @@
 	"godwitplank/route"
 )
 
+// maxCallTime bounds predicted times of calls, so that sums of them do not overflow.
+const maxCallTime = time.Hour
+
 // PredictCallTime returns the configured time of a call with a number of pieces, or 0 if the service has no batch
 // configuration.
 func PredictCallTime(s *document.Service, pieces int) time.Duration {
 	if s == nil || s.Batch == nil {
 		return 0
 	}
-	return time.Duration((s.Batch.CallMS + s.Batch.PieceMS*float64(min(pieces, s.Batch.Pieces))) * float64(time.Millisecond))
+	ms := s.Batch.CallMS + s.Batch.PieceMS*float64(min(pieces, s.Batch.Pieces))
+	return time.Duration(min(ms, float64(maxCallTime.Milliseconds())) * float64(time.Millisecond))
 }
 
 // fastestSlowdown is the least slowdown that an endpoint is believed to have.
