control: answer heartbeats in the reply of the call that carries them

Change: Deliver returns the replies to appends if nothing has to be stored first; a request says whether its sender takes them, so that builds can be mixed. Tried and rejected: all messages of the replica in the reply.

--- a/control/connection.go
+++ b/control/connection.go
@@ -59,12 +59,20 @@
 }
 
 func (c *Control) deliver(ctx context.Context, p *peer, timeout time.Duration, messages []*raft.Message) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	_, err := p.client().Deliver(ctx, &link.DeliverRequest{Messages: messages})
+	reply, err := p.client().Deliver(callCtx, &link.DeliverRequest{Messages: messages, TakesReplies: true})
 	if p.recordResult(err) {
 		c.Log.Log(event.ConnectionReset, "peer", p.addr.String())
 	}
+	if len(reply.GetMessages()) == 0 {
+		return
+	}
+	_ = c.do(ctx, func() {
+		for _, m := range reply.Messages {
+			c.handleMessage(m)
+		}
+	})
 }
 
 // contentBytes returns the size of the entries and the snapshot of a message.
--- a/control/control.go
+++ b/control/control.go
@@ -19,6 +19,7 @@
 	"godwitplank/endpoint"
 	"godwitplank/event"
 	"godwitplank/link"
+	"godwitplank/raft"
 	"godwitplank/route"
 	"godwitplank/spend"
 	"godwitplank/state"
@@ -100,30 +101,33 @@
 	// runCtx is the context of Run; the goroutines of peers that are added while it runs use it.
 	runCtx context.Context
 
-	start              time.Time
-	stopping           bool
-	viewStale          bool
-	viewUrgent         bool // publish without waiting for minPublishInterval
-	publishedAt        time.Time
-	entryVMs           entryVMs
-	document           *document.Document
-	storedDocument     *state.DocumentChange
-	activeSince        time.Time
-	transfer           transfer
-	history            difference.History // versions that transfers to other VMs may refer to
-	endpoints          endpoint.Table
-	stats              map[statsKey]*route.Stats
-	coldShares         map[statsKey]coldShare
-	limits             map[statsKey]*knownLimit
-	limitsRevision     uint64
-	wasReady           bool // whether a view was ready since the start
-	vms                vm.Table
-	lastExpiry         time.Time
-	prunedAt           time.Time
-	peers              map[netip.AddrPort]*peer
-	knownGroup         *link.Group // newest state of the group that was received or, on the leader, built
-	replica            *replica
-	broker             workspace.Broker
+	start          time.Time
+	stopping       bool
+	viewStale      bool
+	viewUrgent     bool // publish without waiting for minPublishInterval
+	publishedAt    time.Time
+	entryVMs       entryVMs
+	document       *document.Document
+	storedDocument *state.DocumentChange
+	activeSince    time.Time
+	transfer       transfer
+	history        difference.History // versions that transfers to other VMs may refer to
+	endpoints      endpoint.Table
+	stats          map[statsKey]*route.Stats
+	coldShares     map[statsKey]coldShare
+	limits         map[statsKey]*knownLimit
+	limitsRevision uint64
+	wasReady       bool // whether a view was ready since the start
+	vms            vm.Table
+	lastExpiry     time.Time
+	prunedAt       time.Time
+	peers          map[netip.AddrPort]*peer
+	knownGroup     *link.Group // newest state of the group that was received or, on the leader, built
+	replica        *replica
+	broker         workspace.Broker
+	// replyTo is the replica whose messages are being answered, replies the answers for the reply to its call.
+	replyTo            string
+	replies            []*raft.Message
 	sharesLoggedTerm   uint64 // Raft term of the last event about shares
 	brokerTerm         uint64 // Raft term in which broker was last reset; 0 forces a reset
 	lastTick           time.Time
--- a/control/full_disk_test.go
+++ b/control/full_disk_test.go
@@ -45,7 +45,7 @@
 }
 
 // runGroup runs three VMs that are the voters of a group, connected over loopback.
-func runGroup(t *testing.T) []*Control {
+func runGroup(t *testing.T, options ...grpc.ServerOption) []*Control {
 	t.Helper()
 	var listeners []net.Listener
 	var seeds []netip.AddrPort
@@ -60,7 +60,7 @@
 	var group []*Control
 	for i, l := range listeners {
 		c := openSeededControl(t, t.TempDir(), seeds[i], true, seeds)
-		server := grpc.NewServer()
+		server := grpc.NewServer(options...)
 		link.RegisterLinkServer(server, c)
 		ctx, cancel := context.WithCancel(context.Background())
 		var running sync.WaitGroup
--- a/control/replica.go
+++ b/control/replica.go
@@ -93,6 +93,19 @@
 	c.apply(out)
 }
 
+// takeReplies returns the messages that the replica has for another one, unless anything has to be stored first: the sender of the
+// messages that they answer would wait for the disk.
+func (c *Control) takeReplies(to string) []*raft.Message {
+	if c.replica == nil || c.fatalErr != nil || c.diskFull.suspended || c.replica.core.HasUnstored() || !c.replica.core.HasOutput() {
+		return nil
+	}
+	c.replyTo = to
+	c.flushOutput()
+	out := c.replies
+	c.replyTo, c.replies = "", nil
+	return out
+}
+
 // persist writes and syncs the core's output, and reports whether there was anything to write.
 func (r *replica) persist(out raft.Output) (bool, error) {
 	if out.Snapshot != nil {
@@ -200,8 +213,13 @@
 	}
 }
 
-// sendMessage queues a message to the VM of the receiving replica, and drops it if there is no peer for that VM.
+// sendMessage queues a message to the VM of the receiving replica, and drops it if there is no peer for that VM. A message for the
+// replica whose messages are being answered goes into the reply, unless it has entries: those would overtake queued ones.
 func (c *Control) sendMessage(m *raft.Message) {
+	if m.To == c.replyTo && m.Kind == raft.MessageKind_APPEND_REPLY {
+		c.replies = append(c.replies, m)
+		return
+	}
 	name := c.vmForReplica(m.To)
 	if p := c.peerFor(name); p != nil {
 		p.enqueue(m)
--- a/control/server.go
+++ b/control/server.go
@@ -76,14 +76,21 @@
 	return &link.Group{Id: g.Id, LeaderVm: g.LeaderVm, Term: g.Term, Commit: g.Commit, Membership: g.Membership}
 }
 
-// Deliver passes Raft messages to this VM's replica.
+// Deliver passes Raft messages to this VM's replica, and returns its messages for the sender.
 func (c *Control) Deliver(ctx context.Context, r *link.DeliverRequest) (*link.DeliverReply, error) {
+	reply := &link.DeliverReply{}
 	err := c.do(ctx, func() {
 		for _, m := range r.Messages {
 			c.handleMessage(m)
 		}
+		if r.TakesReplies && len(r.Messages) > 0 {
+			reply.Messages = c.takeReplies(r.Messages[0].From)
+		}
 	})
-	return &link.DeliverReply{}, err
+	if err != nil {
+		return nil, err // the call may still set reply
+	}
+	return reply, nil
 }
 
 // FindOrder reads the ledger's record of an order from this VM's replica. The record may be stale; it is unset if there
--- a/raft/core.go
+++ b/raft/core.go
@@ -284,10 +284,15 @@
 	c.advanceCommit()
 }
 
+// HasUnstored reports whether the driver has to store anything of the next Output.
+func (c *Core) HasUnstored() bool {
+	return c.snapshotToStore != nil || c.log.hasUnstored() ||
+		c.storedState.Term != c.term || c.storedState.Vote != c.vote || c.storedState.Commit != c.commit
+}
+
 // HasOutput reports whether Output would return any work.
 func (c *Core) HasOutput() bool {
-	return c.snapshotToStore != nil || c.snapshotToRestore != nil || len(c.messages) > 0 || c.log.hasUnstored() ||
-		c.commit > c.delivered || c.storedState.Term != c.term || c.storedState.Vote != c.vote || c.storedState.Commit != c.commit
+	return c.HasUnstored() || c.snapshotToRestore != nil || len(c.messages) > 0 || c.commit > c.delivered
 }
 
 func (c *Core) send(m *Message) {
