--- a/piece/broker.go
+++ b/piece/broker.go
@@ -74,13 +74,13 @@
 	maxEndedOwners = 2
 )
 
-// errOwnersEnded is returned for a job with which maxEndedOwners ended.
+// endedRetry is the Retry-After of errOwnersEnded: the owners start again meanwhile.
+const endedRetry = 5 * time.Second
+
+// errOwnersEnded is the fault of a job with which maxEndedOwners ended.
 var errOwnersEnded = fault.New(fault.StageFailed, "the VMs that dispatched the stage ended while they did, which the request may have caused; check their logs before it is sent again").
 	WithOutcome(godwitplank.NotRun, endedRetry)
 
-// endedRetry is the Retry-After of a job with which owners ended: they start again meanwhile.
-const endedRetry = 5 * time.Second
-
 // Run has a job dispatched by the owner of its service, or by this VM after maxOwnerAttempts failures. It returns the
 // handles of the results in the order of the pieces.
 func (b *Broker) Run(ctx context.Context, j *Job) ([]string, error) {
--- a/piece/memory.go
+++ b/piece/memory.go
@@ -23,18 +23,17 @@
 	handleBytes = 16
 )
 
-// Retry-After of a job for which there is no memory; spread, so that its callers do not return together.
+// LargestJobBytes is the memory of a job of MaxPieces without inputs.
+const LargestJobBytes = jobBytes + MaxPieces*PieceBytes
+
 const (
+	// memoryWait is how long a job with inputs waits for memory, since those hold memory of other endpoints.
+	memoryWait = 500 * time.Millisecond
+	// The Retry-After of a job for which there is no memory is random, so that its callers do not return together.
 	minMemoryRetry = time.Second
 	maxMemoryRetry = 2 * time.Second
 )
 
-// memoryWait is how long a job with inputs waits for memory, since those hold memory of other endpoints.
-const memoryWait = 500 * time.Millisecond
-
-// LargestJobBytes is the memory of a job of MaxPieces without inputs.
-const LargestJobBytes = jobBytes + MaxPieces*PieceBytes
-
 // bytes returns the approximate memory of a job.
 func (j *Job) bytes() int64 {
 	n := int64(jobBytes + j.Pieces*PieceBytes)
@@ -48,20 +47,7 @@
 // there is no memory for it.
 func (d *Dispatcher) charge(ctx context.Context, now time.Time, j *Job) (*memory.Account, error) {
 	account := d.Memory.Open(netip.Addr{}, now, func() {})
-	freed := account.Freed()
-	err := account.Grow(now, j.bytes())
-	if err != nil && len(j.Inputs) > 0 {
-		ctx, cancel := context.WithTimeout(ctx, memoryWait)
-		defer cancel()
-		for err != nil && ctx.Err() == nil {
-			select {
-			case <-freed:
-				freed = account.Freed()
-				err = account.Grow(d.Clock.Now(), j.bytes())
-			case <-ctx.Done():
-			}
-		}
-	}
+	err := d.growFor(ctx, account, j)
 	if err == nil {
 		return account, nil
 	}
@@ -75,6 +61,27 @@
 		WithOutcome(godwitplank.NotRun, minMemoryRetry+rand.N(maxMemoryRetry-minMemoryRetry))
 }
 
+// growFor charges the memory of a job. If that does not fit, a job with inputs waits until other jobs end, for at most memoryWait.
+func (d *Dispatcher) growFor(ctx context.Context, account *memory.Account, j *Job) error {
+	freed := account.Freed()
+	err := account.Grow(d.Clock.Now(), j.bytes())
+	if err == nil || len(j.Inputs) == 0 {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, memoryWait)
+	defer cancel()
+	for err != nil {
+		select {
+		case <-freed:
+			freed = account.Freed()
+			err = account.Grow(d.Clock.Now(), j.bytes())
+		case <-ctx.Done():
+			return err
+		}
+	}
+	return nil
+}
+
 // JobsWithoutMemory returns the number of jobs that were refused since there was no memory for their pieces.
 func (d *Dispatcher) JobsWithoutMemory() int64 {
 	return d.withoutMemory.Load()
