connection: a reset that the write of a request is told of ends the response too

What callers saw: an endpoint answered a long request at once with a 200 without a length, sent part of the body and reset the connection while the request was being written. Callers got the part as a whole 200, and streams ended as if complete.

Cause: Linux reports the error of a socket once. A request above 8 KB is written by one goroutine while another reads; where the write got the reset, the read saw an end of file, which is how a response without a length ends when it is whole.

Evidence: at TestResetDuringLongRequest failed 40 of 40 tries in each form (once, repeatable, stream, resumable stream), and TestResponseReadAfterReset, where the write is told of the reset before the response is read, 5 of 5.

Change: the connections of the pool are sockets whose Read returns the end of file only if the peer ended its side in order: the TCP state is CLOSE_WAIT, or the write that was in progress has no error, or EPIPE, the kernel's error of a reset after an end in order. With any other error of the write the read fails with it, so that the attempt counts as broken off by the endpoint and is repeated where it may be, else 502. All readers of the pool's connections (responses, streams, stages, frees, responses that are skipped) read through it.

Whole early responses are delivered as before and without waiting for the request: TestEarlyResponseThatEndsInOrder passed before and after, 10 times a form, also where the endpoint keeps the connection open without reading.

The tests of connection and platform passed twice.

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -23,7 +23,7 @@
 
 	pool   *Pool
 	key    Key
-	raw    net.Conn
+	raw    *socket
 	reader *bufio.Reader
 	head   *HeadLimiter
 	// idleRead receives the result of the read that watchIdle started; nil if there is none.
@@ -58,7 +58,7 @@
 	c.written.Store(false)
 	c.pool.group.Go(func() {
 		// The body is not copied: a copy of every body in flight would double what a VM holds for its callers.
-		_, err := (&net.Buffers{message, call.Body}).WriteTo(c.raw)
+		err := c.raw.writeAll(net.Buffers{message, call.Body})
 		c.written.Store(err == nil)
 	})
 	return true, nil
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -81,7 +81,7 @@
 		Timeout: dialTimeout, Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 	}
-	raw, err := d.DialContext(ctx, "tcp4", addr.String())
+	raw, err := dial(ctx, &d, "tcp4", addr.String())
 	if err != nil {
 		p.release(key)
 		return nil, err
--- a/connection/pool_test.go
+++ b/connection/pool_test.go
@@ -19,7 +19,7 @@
 var key = Key{ID: "e", Incarnation: 1}
 
 // listen starts a TCP server that runs serve for each connection until the test ends.
-func listen(t *testing.T, serve func(c net.Conn, r *bufio.Reader)) netip.AddrPort {
+func listen(t testing.TB, serve func(c net.Conn, r *bufio.Reader)) netip.AddrPort {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
