connection: one reader of response heads, which refuses malformed field names

What callers saw: a response whose head had a blank in the name of a field, or between the name and the colon, reached callers as a 200. Where the name was Transfer-Encoding or Content-Length, the body was framed otherwise than the endpoint meant, or its end was waited for until the deadline. The results of stages in such a response counted.

Cause: net/http's reader, made for clients, allows spaces in names and joins lines that begin with a space or tab to the line before; nothing here checked what it had read.

Change: connection.ReadResponse reads the heads of endpoints' responses and checks the bytes of a head as they pass, so that a malformed line ends the call at once. It returns a *head.Error, also for what net/http refuses, so that event 413 and its counter, with the source head, report each malformed head. The request goes elsewhere where it may, else its caller gets 502. Frees are reported in the same way.

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -25,7 +25,7 @@
 	key    Key
 	raw    *socket
 	reader *bufio.Reader
-	head   *HeadLimiter
+	head   *HeadReader
 	// idleRead receives the result of the read that watchIdle started; nil if there is none.
 	idleRead chan error
 	// idleUntil is the time from which an idle connection is no longer reused.
@@ -64,8 +64,7 @@
 	return true, nil
 }
 
-// Receive reads the header of the next response to a call with the given method. It skips 1xx responses, and returns an
-// error if the headers exceed MaxHeadBytes.
+// Receive reads the head of the next response to a call with the given method, with the errors of ReadResponse.
 func (c *Conn) Receive(method string) (*http.Response, error) {
 	if c.idleRead != nil {
 		err := <-c.idleRead
@@ -74,14 +73,7 @@
 			return nil, err
 		}
 	}
-	c.head.StartHead()
-	defer c.head.EndHead()
-	for {
-		r, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil || r.StatusCode >= http.StatusOK {
-			return r, err
-		}
-	}
+	return ReadResponse(c.reader, c.head, method)
 }
 
 // Release returns the connection to the pool after the response body was read to its end, or closes it if it is not
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -89,7 +89,7 @@
 	if p.OnOpen != nil {
 		p.OnOpen()
 	}
-	head := &HeadLimiter{Reader: raw}
+	head := &HeadReader{Reader: raw}
 	return &Conn{OpenedAt: p.Clock.Now(), pool: p, key: key, raw: raw, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}, nil
 }
 
--- /dev/null
+++ b/connection/response.go
@@ -0,0 +1,43 @@
+package connection
+
+import (
+	"bufio"
+	"net/http"
+
+	"godwitplank/head"
+)
+
+// ReadResponse reads the head of the next response to a request with a method, from a buffer of h. It skips informational (1xx)
+// responses. It returns a *head.Error for a head that is malformed or too large, and the error of the connection otherwise. The end of a
+// body that has neither a length nor chunks is the end of h.
+func ReadResponse(buffer *bufio.Reader, h *HeadReader, method string) (*http.Response, error) {
+	h.startHead()
+	defer h.endHead()
+	h.request.Method = method
+	for {
+		h.lines = fieldScanner{}
+		buffered, _ := buffer.Peek(buffer.Buffered())
+		if malformed := h.lines.scan(buffered); malformed != nil {
+			return nil, malformed
+		}
+		r, err := http.ReadResponse(buffer, &h.request)
+		if err := h.checkRead(err); err != nil {
+			return nil, err
+		}
+		if r.StatusCode >= http.StatusOK {
+			return r, nil
+		}
+	}
+}
+
+// checkRead returns the cause of an error of net/http's reader, as a *head.Error unless it is that of the connection. It also returns
+// an error that net/http has passed over.
+func (h *HeadReader) checkRead(err error) error {
+	switch {
+	case h.refused != nil:
+		return h.refused
+	case err == nil || h.failed:
+		return err
+	}
+	return &head.Error{Part: "the head", Text: err.Error(), Reason: "does not follow RFC 9112; check what the endpoint sends"}
+}
--- a/connection/socket_test.go
+++ b/connection/socket_test.go
@@ -58,8 +58,9 @@
 		t.Run(c.writeError.Error(), func(t *testing.T) {
 			is := is.New(t)
 			raw := &sharedErrorConn{response: strings.NewReader("HTTP/1.1 200 OK\r\n\r\npart"), writeError: c.writeError, told: make(chan struct{})}
-			limiter := &HeadLimiter{Reader: &socket{Conn: raw}}
-			conn := &Conn{pool: &Pool{Clock: timer.System}, raw: limiter.Reader.(*socket), head: limiter, reader: bufio.NewReader(limiter)}
+			s := &socket{Conn: raw}
+			h := &HeadReader{Reader: s}
+			conn := &Conn{pool: &Pool{Clock: timer.System}, raw: s, head: h, reader: bufio.NewReader(h)}
 			_, err := conn.Send(t.Context(), &Call{Method: http.MethodPost, Target: "/", Host: "h", Body: make([]byte, 2*maxInlineBytes)})
 			is.NoErr(err)
 			r, err := conn.Receive(http.MethodPost)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -39,7 +39,7 @@
 	DepartureNotRecorded  = Event{410, log.WarnLevel, "departure of an endpoint not recorded", "endpoint, incarnation, error", "nothing if the endpoint asks another VM; else check the group with group show"}
 	EndpointLimited       = Event{411, log.InfoLevel, "endpoint states how many calls it takes from all VMs", "endpoint, incarnation, limit, source, request_id", "nothing; if it lasts, the endpoint is overloaded: add endpoints of its service"}
 	EndpointUnlimited     = Event{412, log.InfoLevel, "endpoint no longer states a limit", "endpoint, incarnation, limit, source, request_id", "nothing"}
-	EndpointMalformed     = Event{413, log.WarnLevel, "response of an endpoint has a text that cannot be sent on", "endpoint, incarnation, service, source, request_id, part, text, reason, skipped", "correct the endpoint; what it did is run at another one where the route allows that"}
+	EndpointMalformed     = Event{413, log.WarnLevel, "response of an endpoint is malformed", "endpoint, incarnation, service, source, request_id, part, text, reason, skipped", "correct the endpoint; what it did is run at another one where the route allows that"}
 	EndpointCold          = Event{420, log.InfoLevel, "endpoint is cold and gets few calls", "endpoint, incarnation, pool, left_ms, rate, share", "nothing; if rate is 0, the service's endpoints get no calls while they are cold: raise cold_slack"}
 	EndpointWarm          = Event{421, log.InfoLevel, "endpoint is no longer cold", "endpoint, incarnation", "nothing"}
 	RequestRefused        = Event{501, log.DebugLevel, "request refused", "request_id, workspace, pipeline, kind, outcome", "see the remedy of the kind"}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -316,6 +316,7 @@
 	r, header, err := g.receive(x, a)
 	if err != nil {
 		conn.Close()
+		g.reportMalformed(x, a, "head", err)
 		return outcome{err: err, mayHaveRun: true}
 	}
 	return g.handleResponse(x, a, r, header)
--- a/gateway/malformed.go
+++ b/gateway/malformed.go
@@ -42,7 +42,7 @@
 	}
 	err := head.CheckValue("the id of an event", id)
 	if err != nil {
-		g.reportMalformed(x, a, err)
+		g.reportMalformed(x, a, "event", err)
 	}
 	return err
 }
@@ -59,12 +59,12 @@
 	return slices.ContainsFunc(g.Views.View().Pools[x.service.Name], func(c route.Candidate) bool { return !slices.Contains(x.tried, c.ID) })
 }
 
-// reportMalformed logs and counts the id of an event that cannot be sent in a head.
-func (g *Gateway) reportMalformed(x *exchange, a *attempt, err error) {
-	g.Meter.RecordMalformedResponse(x.service.Name, "event")
+// reportMalformed logs and counts a malformed response, if err is about one. Source is head, or event for the id of an event.
+func (g *Gateway) reportMalformed(x *exchange, a *attempt, source string, err error) {
 	var malformed *head.Error
 	if errors.As(err, &malformed) {
-		g.logHeadError(event.EndpointMalformed, x, a.candidate, "event", malformed)
+		g.Meter.RecordMalformedResponse(x.service.Name, source)
+		g.logHeadError(event.EndpointMalformed, x, a.candidate, source, malformed)
 	}
 }
 
--- a/piece/call.go
+++ b/piece/call.go
@@ -118,7 +118,7 @@
 	return response, nil
 }
 
-// handleMalformed logs and counts a text that cannot be sent in a head, if err is about one. The other results of a response with
+// handleMalformed logs and counts a malformed response or a call that cannot be encoded, if err is about one. The other results of a response with
 // such a text are freed, unless they are those of an earlier call.
 func (d *Dispatcher) handleMalformed(s *document.Service, c *route.Candidate, requestID string, response Response, err error) {
 	var malformed *head.Error
--- a/piece/held.go
+++ b/piece/held.go
@@ -109,6 +109,7 @@
 		return r.StatusCode == http.StatusOK && (err != nil || len(answer.Results) == 0), nil
 	})
 	if err != nil {
+		d.handleMalformed(s, c, "", Response{}, err)
 		d.Log.Log(event.ResultNotReleased, "handle", handles[0], "error", err.Error())
 		return
 	}
--- a/stage/client.go
+++ b/stage/client.go
@@ -124,13 +124,11 @@
 	if err := r.Write(conn); err != nil {
 		return godwitplank.StageAnswer{}, &Error{Reason: Broken, Cause: err}
 	}
-	head := &connection.HeadLimiter{Reader: conn}
-	head.StartHead()
-	response, err := http.ReadResponse(newReader(head), r)
+	head := &connection.HeadReader{Reader: conn}
+	response, err := connection.ReadResponse(newReader(head), head, r.Method)
 	if err != nil {
 		return godwitplank.StageAnswer{}, &Error{Reason: Broken, Cause: err}
 	}
-	head.EndHead()
 	return readResponse(ctx, response, call)
 }
 
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -64,7 +64,7 @@
 		{"godwitplank_stage_attempts", "Stage calls by pool, cause and result.", &out.attempts},
 		{"godwitplank_connections_opened", "New connections to endpoints.", &out.connections},
 		{"godwitplank_document_fetches", "Transfers of the document from another VM by result.", &out.fetches},
-		{"godwitplank_malformed_responses", "Responses of endpoints with a text that cannot be sent on, by pool and source.", &out.malformed},
+		{"godwitplank_malformed_responses", "Malformed responses of endpoints, by pool and source.", &out.malformed},
 		{"godwitplank_calls_not_encoded", "Calls to endpoints that were not sent since their head cannot be encoded, by pool.", &out.notEncoded},
 	} {
 		if *c.counter, err = m.Int64Counter(c.name, metric.WithDescription(c.description)); err != nil {
@@ -138,8 +138,8 @@
 	m.fetchSeconds.Record(context.Background(), elapsed.Seconds(), attributes)
 }
 
-// RecordMalformedResponse counts a response of an endpoint with a text that cannot be sent on. Source is stage for the
-// result of a stage, or event for the id of an event.
+// RecordMalformedResponse counts a malformed response of an endpoint. Source is stage for the response of a stage, head for the head of
+// another response, or event for the id of an event.
 func (m *Meter) RecordMalformedResponse(pool, source string) {
 	if m == nil || m.malformed == nil {
 		return
