connection: refuse responses of another version than HTTP/1.x, and chunks of HTTP/1.0

What callers saw: a response that begins with HTTP/2.0, HTTP/3.1 or HTTP/0.9 counted as an answer. An HTTP/1.0 response with Transfer-Encoding reached callers with the sizes of its chunks in the body, or cut at its Content-Length.

Cause: net/http's reader accepts any digits in the version and drops Transfer-Encoding of HTTP/1.0.

Change: connection.ReadResponse checks the version, and remembers whether a head had the field that net/http drops. HTTP/1.0 with a length, HTTP/1.7 and responses without a reason phrase pass as before (TestUnusualHead).

--- a/connection/head.go
+++ b/connection/head.go
@@ -62,7 +62,10 @@
 	return n, err
 }
 
-// maxNameBytes is how much of a field's name is kept for the error.
+// transferEncoding is a field that HTTP/1.0 does not have.
+var transferEncoding = []byte("Transfer-Encoding")
+
+// maxNameBytes is how much of a field's name is kept, for the error and the comparison with transferEncoding.
 const maxNameBytes = 64
 
 // fieldScanner checks the names of the fields in a head, which net/http's reader allows to have spaces, and refuses lines that
@@ -73,6 +76,8 @@
 	// name is the beginning of the name in the current line, and length the number of its bytes.
 	name   [maxNameBytes]byte
 	length int
+	// encoded is true if the head has the field Transfer-Encoding.
+	encoded bool
 }
 
 // scanPosition is the part of the head that the next byte belongs to.
@@ -133,6 +138,7 @@
 func (s *fieldScanner) endName(c byte) *head.Error {
 	switch {
 	case c == ':' && s.length > 0:
+		s.encoded = s.encoded || bytes.EqualFold(s.kept(), transferEncoding)
 		s.position = inValue
 	case c == '\r' && s.length == 0:
 		s.position = inEmptyLine
--- a/connection/response.go
+++ b/connection/response.go
@@ -24,6 +24,12 @@
 		if err := h.checkRead(err); err != nil {
 			return nil, err
 		}
+		if err := checkStatusLine(r); err != nil {
+			return nil, err
+		}
+		if h.lines.encoded && !r.ProtoAtLeast(1, 1) {
+			return nil, &head.Error{Part: "the version", Text: r.Proto, Reason: "has no transfer encodings; send a length, or HTTP/1.1"}
+		}
 		if r.StatusCode >= http.StatusOK {
 			return r, nil
 		}
@@ -41,3 +47,11 @@
 	}
 	return &head.Error{Part: "the head", Text: err.Error(), Reason: "does not follow RFC 9112; check what the endpoint sends"}
 }
+
+// checkStatusLine returns a *head.Error for another version than HTTP/1.x.
+func checkStatusLine(r *http.Response) error {
+	if r.ProtoMajor != 1 {
+		return &head.Error{Part: "the version", Text: r.Proto, Reason: "is not spoken here; use HTTP/1.1"}
+	}
+	return nil
+}
