connection: refuse responses whose status is none, and 101, at once

What callers saw: a status of 600 or above reached the caller of a non-idempotent request. After a status of 000, 0xx or +20, and after 101, a caller waited until its deadline and got 504 if the endpoint kept the connection open, an idempotent request for its attempt's timeout. A 200 that followed a 101 counted as the answer. With idempotent requests and other endpoints free, no such status reached a caller.

Cause: Receive took each status below 200 for an informational response and waited for the next one. No other place checked the range of RFC 9110, 15.

Change: connection.ReadResponse refuses a status outside 100 to 599, and 101, which no call asks for. Other informational responses are skipped as before.

--- a/connection/response.go
+++ b/connection/response.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net/http"
+	"strconv"
 
 	"godwitplank/head"
 )
@@ -48,10 +49,19 @@
 	return &head.Error{Part: "the head", Text: err.Error(), Reason: "does not follow RFC 9112; check what the endpoint sends"}
 }
 
-// checkStatusLine returns a *head.Error for another version than HTTP/1.x.
+// maxStatus is the largest status of RFC 9110, 15.
+const maxStatus = 599
+
+// checkStatusLine returns a *head.Error for another version than HTTP/1.x, a number that is no status, and a change of protocol,
+// which no call asks for.
 func checkStatusLine(r *http.Response) error {
-	if r.ProtoMajor != 1 {
+	switch {
+	case r.ProtoMajor != 1:
 		return &head.Error{Part: "the version", Text: r.Proto, Reason: "is not spoken here; use HTTP/1.1"}
+	case r.StatusCode < http.StatusContinue || r.StatusCode > maxStatus:
+		return &head.Error{Part: "the status", Text: r.Status, Reason: "is none; use 100 to " + strconv.Itoa(maxStatus)}
+	case r.StatusCode == http.StatusSwitchingProtocols:
+		return &head.Error{Part: "the status", Text: r.Status, Reason: "changes the protocol, which was not asked for; leave it out"}
 	}
 	return nil
 }
