connection, stage, cli: calls over net/http refuse broken responses too

What callers saw: in pipelines, the answer of an endpoint whose response had a blank in a field's name or another HTTP version counted.

Cause: stage.Client and the command line send with net/http, whose transport reads heads like the reader of the pool's connections did, and also writes a long request beside the read of the response.

Evidence: before this change stage's TestMalformedHead got the answer for 6 of its 21 malformed cases (a call and a stream, each with two names and HTTP/2.0; the others failed with another reason), and pipeline's TestMalformedHead the output "spoiled". In TestTransportSeesResets with a plain http.Transport 4 of 120 parts that were reset counted as whole responses.

Change: connection.Transport opens its connections as sockets that tell a reset from an end, and makes the checks of ReadResponse that are possible after net/http has read.

--- a/cli/command.go
+++ b/cli/command.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -16,6 +17,7 @@
 
 	"github.com/spf13/cobra"
 
+	"godwitplank/connection"
 	"godwitplank/daemon"
 	"godwitplank/fault"
 )
@@ -26,6 +28,18 @@
 // callTimeout limits one request to the operator API.
 const callTimeout = 15 * time.Second
 
+// dialTimeout is that of http.DefaultTransport.
+const dialTimeout = 30 * time.Second
+
+// client sends the requests of all commands.
+var client = newClient()
+
+func newClient() *http.Client {
+	base := http.DefaultTransport.(*http.Transport).Clone()
+	base.DialContext = connection.DialContext(&net.Dialer{Timeout: dialTimeout})
+	return &http.Client{Transport: &connection.Transport{Base: base}}
+}
+
 // errUsage marks errors of the command line, which have an exit code of their own.
 var errUsage = errors.New("invalid usage")
 
@@ -131,7 +145,7 @@
 // send sends a request and decodes the JSON of a 200 response into value; a *[]byte gets the body as it is. Any other
 // status is returned as an error, a *fault.Error if the body has one.
 func send(r *http.Request, value any) error {
-	response, err := http.DefaultClient.Do(r)
+	response, err := client.Do(r)
 	if err != nil {
 		return fmt.Errorf("no response: %w; check the address or use another VM", err)
 	}
--- a/cli/request.go
+++ b/cli/request.go
@@ -91,7 +91,7 @@
 // sendStreamed sends a request and prints each event of the response on a line, up to the done event. An error event is
 // returned as an error.
 func (t *tool) sendStreamed(r *http.Request) error {
-	response, err := http.DefaultClient.Do(r)
+	response, err := client.Do(r)
 	if err != nil {
 		return fmt.Errorf("no response: %w; check the address or use another VM", err)
 	}
--- a/connection/response.go
+++ b/connection/response.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 
+	"golang.org/x/net/http/httpguts"
+
 	"godwitplank/head"
 )
 
@@ -46,7 +48,20 @@
 	case err == nil || h.failed:
 		return err
 	}
-	return &head.Error{Part: "the head", Text: err.Error(), Reason: "does not follow RFC 9112; check what the endpoint sends"}
+	return &head.Error{Part: "the head", Text: err.Error(), Reason: reasonUnreadable}
+}
+
+const reasonUnreadable = "does not follow RFC 9112; check what the endpoint sends"
+
+// CheckResponse returns a *head.Error for a response whose head net/http has read, but which is malformed. ReadResponse also finds
+// what net/http does not tell: lines that continue others, and transfer encodings of HTTP/1.0.
+func CheckResponse(r *http.Response) error {
+	for name := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &head.Error{Part: "the field name", Text: name, Reason: "is not a token; use letters, digits and hyphens"}
+		}
+	}
+	return checkStatusLine(r)
 }
 
 // maxStatus is the largest status of RFC 9110, 15.
--- a/pipeline/repeatable.go
+++ b/pipeline/repeatable.go
@@ -11,6 +11,7 @@
 	"godwitplank/document"
 	"godwitplank/event"
 	"godwitplank/fault"
+	"godwitplank/head"
 	"godwitplank/route"
 	"godwitplank/stage"
 	"godwitplank/stop"
@@ -191,6 +192,7 @@
 		r.Log.Log(event.EndpointEjected, "endpoint", c.ID, "error", err.Error(), "until_ms", ejection.Milliseconds())
 		if failure == stage.Mismatched {
 			r.Log.Log(event.AnswerDropped, "request_id", call.RequestID, "stage", call.Stage, "attempt", call.Attempt, "endpoint", c.ID)
+			r.reportMalformed(s, c, call, err)
 		}
 	}
 	if reason(err) != stage.NotSent {
@@ -199,6 +201,19 @@
 	r.Meter.RecordAttempt(s.Pool, cause, outcome, elapsed)
 }
 
+// reportMalformed logs and counts a response with a malformed head, if err is about one.
+func (r *Runner) reportMalformed(s *document.Stage, c route.Candidate, call godwitplank.StageCall, err error) {
+	var malformed *head.Error
+	if !errors.As(err, &malformed) {
+		return
+	}
+	r.Meter.RecordMalformedResponse(s.Pool, "stage")
+	if skipped, ok := r.malformed.Allow(r.Clock.Now()); ok {
+		r.Log.Log(event.EndpointMalformed, "endpoint", c.ID, "incarnation", c.Incarnation, "service", s.Pool, "source", "stage", "request_id", call.RequestID,
+			"part", malformed.Part, "text", malformed.Quoted(), "reason", malformed.Reason, "skipped", skipped)
+	}
+}
+
 func reason(err error) stage.Reason {
 	var e *stage.Error
 	if errors.As(err, &e) {
--- a/pipeline/repeatable_test.go
+++ b/pipeline/repeatable_test.go
@@ -1,20 +1,25 @@
 package pipeline
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 
 	"godwitplank"
 	"godwitplank/document"
+	"godwitplank/event"
 	"godwitplank/fault"
 	"godwitplank/route"
 	"godwitplank/stage"
@@ -230,3 +235,33 @@
 	}
 	is.True(calls.Load() > 4)
 }
+
+// malformedHandler answers a call with a response whose head has a field name that is none.
+func malformedHandler(w http.ResponseWriter, r *http.Request) {
+	var call godwitplank.StageCall
+	_ = json.NewDecoder(r.Body).Decode(&call)
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	body, _ := json.Marshal(godwitplank.StageAnswer{RequestID: call.RequestID, Stage: call.Stage, Attempt: call.Attempt, Output: json.RawMessage(`"spoiled"`)})
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX Own: a\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// A response with a malformed head is no answer: the call is repeated elsewhere, and the endpoint is reported.
+func TestMalformedHead(t *testing.T) {
+	is := is.New(t)
+	r, calls := newPoolRunner(t, malformedHandler, echoHandler)
+	var lines bytes.Buffer
+	r.Log = event.NewLogger(&lines, log.InfoLevel, "vm")
+	for range 2 {
+		output, err := r.Run(context.Background(), newIdempotentJob(time.Second))
+		is.True(err == nil)
+		is.Equal(string(output), "2")
+	}
+	r.Wait()
+	is.True(calls.Load() > 2)
+	is.True(strings.Contains(lines.String(), fmt.Sprintf(`"event":%d`, event.EndpointMalformed.Number)))
+	is.True(strings.Contains(lines.String(), `"endpoint":"a"`))
+}
--- a/pipeline/runner.go
+++ b/pipeline/runner.go
@@ -60,6 +60,8 @@
 
 	group     sync.WaitGroup
 	poolStats poolStats
+	// malformed limits the log lines for responses with a malformed head.
+	malformed event.Sampler
 }
 
 // Job is one request and its progress through its pipeline.
--- a/stage/client.go
+++ b/stage/client.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 
 	"godwitplank"
 	"godwitplank/connection"
+	"godwitplank/head"
 	"godwitplank/telemetry"
 )
 
@@ -40,7 +42,7 @@
 	Broken Reason = "broken"
 	// Refused means that the endpoint returned a status other than 200, an error event or an oversized response.
 	Refused Reason = "refused"
-	// Mismatched means that the response could not be decoded or that its ids belong to another call.
+	// Mismatched means that the response is malformed, could not be decoded or has the ids of another call.
 	Mismatched Reason = "mismatched"
 	// Expired means that the context ended: the deadline passed, the caller disconnected or another attempt succeeded.
 	Expired Reason = "expired"
@@ -74,14 +76,14 @@
 func NewClient() *Client {
 	c := &Client{dialer: net.Dialer{Timeout: dialTimeout}}
 	c.http = http.Client{
-		Transport: &http.Transport{
-			DialContext:         c.dialer.DialContext,
+		Transport: &connection.Transport{Base: &http.Transport{
+			DialContext:         connection.DialContext(&c.dialer),
 			MaxIdleConnsPerHost: maxIdlePerEndpoint,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
 
 			MaxResponseHeaderBytes: maxHeadBytes,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return c
@@ -124,10 +126,10 @@
 	if err := r.Write(conn); err != nil {
 		return godwitplank.StageAnswer{}, &Error{Reason: Broken, Cause: err}
 	}
-	head := &connection.HeadReader{Reader: conn}
-	response, err := connection.ReadResponse(newReader(head), head, r.Method)
+	reader := &connection.HeadReader{Reader: conn}
+	response, err := connection.ReadResponse(newReader(reader), reader, r.Method)
 	if err != nil {
-		return godwitplank.StageAnswer{}, &Error{Reason: Broken, Cause: err}
+		return godwitplank.StageAnswer{}, &Error{Reason: failureReason(err), Cause: err}
 	}
 	return readResponse(ctx, response, call)
 }
@@ -174,7 +176,16 @@
 	if ctx.Err() != nil {
 		return &Error{Reason: Expired, Cause: ctx.Err()}
 	}
-	return &Error{Reason: Broken, Cause: err}
+	return &Error{Reason: failureReason(err), Cause: err}
+}
+
+// failureReason returns the reason of an error of a connection or of the head of a response.
+func failureReason(err error) Reason {
+	var malformed *head.Error
+	if errors.As(err, &malformed) {
+		return Mismatched
+	}
+	return Broken
 }
 
 func readResponse(ctx context.Context, response *http.Response, call godwitplank.StageCall) (godwitplank.StageAnswer, error) {
