soak: endpoints answer with malformed heads

Endpoints of orders that spoil texts now also answer with heads that are malformed, in random runs too. TestMalformedHeads failed at: a caller got the body "spoiled", and no malformed response was counted.

--- a/soak/spoil_test.go
+++ b/soak/spoil_test.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"regexp"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -32,6 +34,25 @@
 	return id
 }
 
+// malformedHeads begin responses that no caller may get.
+var malformedHeads = []string{
+	"HTTP/1.1 200 OK\r\nX Own: a\r\n", "HTTP/1.1 200 OK\r\nX-Own : a\r\n", "HTTP/1.1 200 OK\r\nX\x01Own: a\r\n", "HTTP/1.1 200 OK\r\n X-Own: a\r\n",
+	"HTTP/2.0 200 OK\r\n", "HTTP/1.1 000 Unknown\r\n", "HTTP/1.1 600 Unknown\r\n", "HTTP/1.1 101 Switching Protocols\r\n",
+}
+
+// answerWithMalformedHead writes a response that is valid but for its head, and a body that no caller expects.
+func (s *simulatedEndpoint) answerWithMalformedHead(w http.ResponseWriter, id string) {
+	s.mu.Lock()
+	begin := pickRandom(s.rng, malformedHeads)
+	s.mu.Unlock()
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer c.Close()
+	_, _ = fmt.Fprintf(c, "%sRequest-Id: %s\r\nServer-Seal: seal\r\nContent-Length: 7\r\n\r\nspoiled", begin, id)
+}
+
 var malformedResponses = regexp.MustCompile(`(?m)^godwitplank_malformed_responses_total\{.*pool="(\w+)".*\} (\d+)$`)
 
 // countMalformed returns the malformed responses that the entry VMs counted, by service.
@@ -53,19 +74,24 @@
 	return out
 }
 
-// Endpoints that spoil handles and ids of events cut off no request to another endpoint, and the work that they spoil is done
-// elsewhere: the callers notice nothing.
-func TestSpoiledTexts(t *testing.T) {
-	h := newHarness(t, 48, 2, 3)
-	spoil := func(rate float64) {
+// spoilSetter returns a function that sets the rate at which endpoints spoil texts.
+func (h *harness) spoilSetter(ids ...string) func(rate float64) {
+	return func(rate float64) {
 		for _, s := range h.endpoints {
-			if s.id == "i-engines-153" || s.id == "i-encoders-156" {
+			if slices.Contains(ids, s.id) {
 				s.mu.Lock()
 				s.rates = faultRates{spoil: rate}
 				s.mu.Unlock()
 			}
 		}
 	}
+}
+
+// Endpoints that spoil handles and ids of events cut off no request to another endpoint, and the work that they spoil is done
+// elsewhere: the callers notice nothing.
+func TestSpoiledTexts(t *testing.T) {
+	h := newHarness(t, 48, 2, 3)
+	spoil := h.spoilSetter("i-engines-153", "i-encoders-156")
 	h.runWithTraffic(6, func() {
 		time.Sleep(time.Second)
 		spoil(0.5)
@@ -89,3 +115,27 @@
 		}
 	}
 }
+
+// Endpoints that answer with malformed heads: idempotent requests are served elsewhere, and no caller gets such an answer or a request
+// run twice.
+func TestMalformedHeads(t *testing.T) {
+	h := newHarness(t, 49, 2, 3)
+	spoil := h.spoilSetter("i-orders-150")
+	h.runWithTraffic(6, func() {
+		time.Sleep(time.Second)
+		spoil(0.5)
+		time.Sleep(5 * time.Second)
+		spoil(0)
+		time.Sleep(time.Second)
+	})
+	h.outcomes.checkCuts(h.checker)
+	h.outcomes.checkRuns(h.checker)
+	h.reportResults(t)
+	// Callers cancel one request in twenty early.
+	if served, failed := h.outcomes.served["read"], h.outcomes.failed["read"]; failed*6 > served {
+		t.Errorf("read: %d served, %d failed while endpoints answered with malformed heads", served, failed)
+	}
+	if n := h.countMalformed(t)["orders"]; n == 0 {
+		t.Error("no malformed response of orders was counted")
+	}
+}
--- a/soak/standin_test.go
+++ b/soak/standin_test.go
@@ -31,7 +31,8 @@
 	// truncate closes the connection in the middle of an event, stall sends no more events but keeps the connection open; both
 	// are spread over the events of a stream.
 	truncate, stall float64
-	// spoil puts bytes that a head cannot hold behind handles, and behind ids of events, spread over the events of a stream.
+	// spoil puts bytes that a head cannot hold behind handles, and behind ids of events, spread over the events of a stream, and
+	// malforms the heads of other answers.
 	spoil float64
 }
 
@@ -268,6 +269,9 @@
 	s.mu.Unlock()
 	time.Sleep(extraLatency + 10*time.Millisecond)
 	switch {
+	case s.shouldInject(func(r faultRates) float64 { return r.spoil }):
+		s.answerWithMalformedHead(w, id)
+		return
 	case s.shouldInject(func(r faultRates) float64 { return r.reset }):
 		panic(http.ErrAbortHandler)
 	case s.shouldInject(func(r faultRates) float64 { return r.fail }):
