--- a/scenario/checks_test.go
+++ b/scenario/checks_test.go
@@ -12,8 +12,11 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
+	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"godwitplank/console"
@@ -78,14 +81,24 @@
 	Input     json.RawMessage `json:"input"`
 }
 
+// readJournal reads the journal up to its end. A line that is being written may be seen in part, so that it is waited for.
 func readJournal(path string) ([]journalEntry, error) {
-	file, err := os.Open(path)
-	if err != nil {
-		return nil, err
+	for deadline := time.Now().Add(defaultTimeout); ; time.Sleep(pollInterval) {
+		text, err := os.ReadFile(path)
+		switch {
+		case err != nil:
+			return nil, err
+		case len(text) == 0 || text[len(text)-1] == '\n':
+			return parseJournal(text)
+		case time.Now().After(deadline):
+			return nil, fmt.Errorf("the last line of %s is incomplete", path)
+		}
 	}
-	defer file.Close()
+}
+
+func parseJournal(text []byte) ([]journalEntry, error) {
 	var entries []journalEntry
-	scanner := bufio.NewScanner(file)
+	scanner := bufio.NewScanner(bytes.NewReader(text))
 	for scanner.Scan() {
 		var entry journalEntry
 		if err := json.Unmarshal(scanner.Bytes(), &entry); err != nil {
@@ -96,6 +109,26 @@
 	return entries, scanner.Err()
 }
 
+// A line of the journal that is being written is read whole, not as a malformed one.
+func TestJournalIsReadWhileItIsWritten(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "journal")
+	const line = "{\"stage\":\"order\"}\n"
+	is.NoErr(os.WriteFile(path, []byte(line+line[:9]), 0o600))
+	file, err := os.OpenFile(path, os.O_APPEND|os.O_WRONLY, 0)
+	is.NoErr(err)
+	var group sync.WaitGroup
+	group.Go(func() {
+		time.Sleep(2 * pollInterval)
+		_, _ = file.WriteString(line[9:])
+		_ = file.Close()
+	})
+	entries, err := readJournal(path)
+	group.Wait()
+	is.NoErr(err)
+	is.Equal(len(entries), 2)
+}
+
 // runsCommand checks how many times a stage ran with an input.
 //
 // Usage: runs JOURNAL STAGE INPUT COUNT
