soak: TestMalformedHeads makes sure that malformed heads are played

It failed once, in a whole run beside three busy loops, with "no malformed response of orders was counted": one of three endpoints malformed half of its answers, and got so few calls after its first failure that a run may have none. Now two of the three malform all of them. The checks stay as they are.

--- a/soak/spoil_test.go
+++ b/soak/spoil_test.go
@@ -116,14 +116,14 @@
 	}
 }
 
-// Endpoints that answer with malformed heads: idempotent requests are served elsewhere, and no caller gets such an answer or a request
-// run twice.
+// Two of three endpoints give only answers with malformed heads: idempotent requests are served elsewhere, and no caller gets such an
+// answer or a request run twice. The endpoints get few calls after their first failures.
 func TestMalformedHeads(t *testing.T) {
 	h := newHarness(t, 49, 2, 3)
-	spoil := h.spoilSetter("i-orders-150")
+	spoil := h.spoilSetter("i-orders-150", "i-orders-151")
 	h.runWithTraffic(6, func() {
 		time.Sleep(time.Second)
-		spoil(0.5)
+		spoil(1)
 		time.Sleep(5 * time.Second)
 		spoil(0)
 		time.Sleep(time.Second)
@@ -135,7 +135,9 @@
 	if served, failed := h.outcomes.served["read"], h.outcomes.failed["read"]; failed*6 > served {
 		t.Errorf("read: %d served, %d failed while endpoints answered with malformed heads", served, failed)
 	}
-	if n := h.countMalformed(t)["orders"]; n == 0 {
+	n := h.countMalformed(t)["orders"]
+	t.Logf("malformed responses of orders: %d", n)
+	if n == 0 {
 		t.Error("no malformed response of orders was counted")
 	}
 }
