--- a/connection/response.go
+++ b/connection/response.go
@@ -67,14 +67,14 @@
 // maxStatus is the largest status of RFC 9110, 15.
 const maxStatus = 599
 
-// checkStatusLine returns a *head.Error for another version than HTTP/1.x, a number that is no status, and a change of protocol,
+// checkStatusLine returns a *head.Error for another version than HTTP/1.x, an invalid status code, and a change of protocol,
 // which no call asks for.
 func checkStatusLine(r *http.Response) error {
 	switch {
 	case r.ProtoMajor != 1:
-		return &head.Error{Part: "the version", Text: r.Proto, Reason: "is not spoken here; use HTTP/1.1"}
+		return &head.Error{Part: "the version", Text: r.Proto, Reason: "is not supported; use HTTP/1.1"}
 	case r.StatusCode < http.StatusContinue || r.StatusCode > maxStatus:
-		return &head.Error{Part: "the status", Text: r.Status, Reason: "is none; use 100 to " + strconv.Itoa(maxStatus)}
+		return &head.Error{Part: "the status", Text: r.Status, Reason: "is not a status code; use 100 to " + strconv.Itoa(maxStatus)}
 	case r.StatusCode == http.StatusSwitchingProtocols:
 		return &head.Error{Part: "the status", Text: r.Status, Reason: "changes the protocol, which was not asked for; leave it out"}
 	}
--- a/pipeline/repeatable_test.go
+++ b/pipeline/repeatable_test.go
@@ -236,7 +236,7 @@
 	is.True(calls.Load() > 4)
 }
 
-// malformedHandler answers a call with a response whose head has a field name that is none.
+// malformedHandler answers a call with a response whose head has an invalid field name.
 func malformedHandler(w http.ResponseWriter, r *http.Request) {
 	var call godwitplank.StageCall
 	_ = json.NewDecoder(r.Body).Decode(&call)
