Review: a silent runner's stream is cut during a planned stop

A script with real processes: SIGTERM to an entry VM while the only runner of a resumable streaming route pauses for 1.3 s in each stream.

--- /dev/null
+++ b/review/standin3/runner.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const heartbeatPeriod = 1200 * time.Millisecond
+
+// runner is a stand-in of a runner that registers itself at the control VMs.
+type runner struct {
+	system  *system
+	id      string
+	service string
+	zone    string
+	address string
+	born    int64
+	server  *http.Server
+
+	mu    sync.Mutex
+	seq   int
+	state string
+}
+
+// startRunner starts a runner at the nth address and registers it until ctx ends. It answers requests with handler.
+func (s *system) startRunner(ctx context.Context, n int, id, service, zone string, handler http.Handler) (*runner, error) {
+	address := fmt.Sprintf("%s.%d:%d", s.network, 100+n, s.port+runnerPort)
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	w := &runner{system: s, id: id, service: service, zone: zone, address: address, born: time.Now().UnixMilli(), state: "ready"}
+	w.server = &http.Server{Handler: handler}
+	go func() { _ = w.server.Serve(l) }()
+	go func() {
+		for ctx.Err() == nil {
+			w.report()
+			time.Sleep(heartbeatPeriod)
+		}
+		_ = w.server.Close()
+	}()
+	return w, nil
+}
+
+// report sends a status report.
+func (w *runner) report() {
+	w.mu.Lock()
+	w.seq++
+	body, _ := json.Marshal(map[string]any{
+		"Service": w.service, "Address": w.address, "Zone": w.zone, "Version": "v1", "Slots": 128, "State": w.state, "ColdLeftMs": 0,
+		"Stage": "colocated", "Models": []map[string]any{{"Name": "m", "Version": 1, "Adapters": []string{}}}, "Seq": w.seq, "born": w.born,
+	})
+	w.mu.Unlock()
+	_, _ = w.system.call(http.MethodPut, "/instances/"+w.id, body)
+}
+
+// misdirected answers a request that names another runner, and reports whether it did.
+func misdirected(w http.ResponseWriter, r *http.Request, id string) bool {
+	if target := r.Header.Get("Target-Instance"); target == "" || target == id {
+		return false
+	}
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.WriteHeader(http.StatusMisdirectedRequest)
+	return true
+}
