Review: a runner's extra answer without a readable id goes to another consumer

A script with real processes: two of four runners write one answer in 20 a second time, late and with one wrong byte in the name of Request-Id.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -11,7 +11,8 @@
 
 // cases has the scripted cases by name. A case returns whether its rule was broken.
 var cases = map[string]func(r *record, trouble bool) (bool, error){
-	"silent_stream": playSilentStream,
+	"foreign_answer": playForeignAnswer,
+	"silent_stream":  playSilentStream,
 }
 
 func main() {
--- a/review/standin3/runner.go
+++ b/review/standin3/runner.go
@@ -20,7 +20,6 @@
 	zone    string
 	address string
 	born    int64
-	server  *http.Server
 
 	mu    sync.Mutex
 	seq   int
@@ -29,22 +28,32 @@
 
 // startRunner starts a runner at the nth address and registers it until ctx ends. It answers requests with handler.
 func (s *system) startRunner(ctx context.Context, n int, id, service, zone string, handler http.Handler) (*runner, error) {
-	address := fmt.Sprintf("%s.%d:%d", s.network, 100+n, s.port+runnerPort)
-	l, err := net.Listen("tcp", address)
+	l, err := s.listenRunner(n)
 	if err != nil {
 		return nil, err
 	}
-	w := &runner{system: s, id: id, service: service, zone: zone, address: address, born: time.Now().UnixMilli(), state: "ready"}
-	w.server = &http.Server{Handler: handler}
-	go func() { _ = w.server.Serve(l) }()
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(l) }()
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	w := &runner{id: id, service: service, zone: zone, address: l.Addr().String()}
+	s.registerRunner(ctx, w)
+	return w, nil
+}
+
+// listenRunner listens at the nth address of runners.
+func (s *system) listenRunner(n int) (net.Listener, error) {
+	return net.Listen("tcp", fmt.Sprintf("%s.%d:%d", s.network, 100+n, s.port+runnerPort))
+}
+
+// registerRunner sends the status reports of a runner until ctx ends.
+func (s *system) registerRunner(ctx context.Context, w *runner) {
+	w.system, w.born, w.state = s, time.Now().UnixMilli(), "ready"
 	go func() {
 		for ctx.Err() == nil {
 			w.report()
 			time.Sleep(heartbeatPeriod)
 		}
-		_ = w.server.Close()
 	}()
-	return w, nil
 }
 
 // report sends a status report.
