Review: prompts of many parts hang an entry VM

A script with real processes: one client sends prompts of 3,700 parts of one token each, inside MaxHeaderBytes, eight at once. The stand-in of the next case is in this commit, too.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -12,6 +12,8 @@
 // cases has the scripted cases by name. A case returns whether its rule was broken.
 var cases = map[string]func(r *record, trouble bool) (bool, error){
 	"foreign_answer": playForeignAnswer,
+	"many_parts":     playManyParts,
+	"many_pieces":    playManyPieces,
 	"silent_stream":  playSilentStream,
 }
 
--- a/review/standin3/runner.go
+++ b/review/standin3/runner.go
@@ -42,7 +42,11 @@
 
 // listenRunner listens at the nth address of runners.
 func (s *system) listenRunner(n int) (net.Listener, error) {
-	return net.Listen("tcp", fmt.Sprintf("%s.%d:%d", s.network, 100+n, s.port+runnerPort))
+	return net.Listen("tcp", s.runnerAddress(n))
+}
+
+func (s *system) runnerAddress(n int) string {
+	return fmt.Sprintf("%s.%d:%d", s.network, 100+n, s.port+runnerPort)
 }
 
 // registerRunner sends the status reports of a runner until ctx ends.
