Review: a withdrawal that a frozen control VM runs late ends a later evacuation

A script with real processes: a control VM is stopped for 1.5 s; the operator gives up there, withdraws two evacuations elsewhere and orders them again.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -12,8 +12,10 @@
 // cases has the scripted cases by name. A case returns whether its rule was broken.
 var cases = map[string]func(r *record, trouble bool) (bool, error){
 	"foreign_answer": playForeignAnswer,
+	"late_order":     playLateOrder,
 	"many_parts":     playManyParts,
 	"many_pieces":    playManyPieces,
+	"reused_handle":  playReusedHandle,
 	"silent_stream":  playSilentStream,
 }
 
