--- a/review/standin3/system.go
+++ b/review/standin3/system.go
@@ -169,6 +169,7 @@
 	v.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + s.folder, "GODWITPLANK_SETTINGS_FILE=" + v.settings}
 	v.command.Stdout, v.command.Stderr = logFile, logFile
 	if err := v.command.Start(); err != nil {
+		v.command = nil
 		return err
 	}
 	_ = logFile.Close()
