Review: a larger request for the case of many pieces

With Piece-Count 7000,2800 the script failed in one of three runs on a machine without other load, with 9900,2800 in five of five: one or two entry VMs used 438 to 492 MB of 424 MB, and 8 to 16 requests of kept channels were lost.

--- a/review/standin3/many_pieces.go
+++ b/review/standin3/many_pieces.go
@@ -25,7 +25,7 @@
 	firstRunners  = 36
 	secondRunners = 42
 	edgeMemoryMB  = 424
-	hugePieces    = "7000,2800"
+	hugePieces    = "9900,2800"
 	deskCallers   = 8
 	deskTime      = 300 * time.Millisecond
 	restartDelay  = 500 * time.Millisecond
