--- a/review/standin3/foreign_answer.go
+++ b/review/standin3/foreign_answer.go
@@ -12,12 +12,6 @@
 	"time"
 )
 
-const foreignConfiguration = `{"Version":1,"Routes":[{"Name":"account","Host":"desk.example","PathPrefix":"/account/","RouteType":"idempotent","TimeoutMs":1500,` +
-	`"TargetLatencyMs":300,"Priority":2,"Service":"desk","MaxAttempts":2,"Public":false,"SessionAffinity":false,"StreamResume":false,"TargetGapMs":0}],` +
-	`"Services":[{"Name":"desk","HealthPath":"/health","MaxConnections":100,"Protocol":"h1","Tls":false}],` +
-	`"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},` +
-	`"Tenants":[{"Name":"crews","ApiKeys":["key-of-crews"]},{"Name":"shops","ApiKeys":["key-of-shops"]}]}`
-
 // The site has ledger-desk with four runners. Its days let up to 0.6 of the runners spoil up to 0.05 of their answers; here it is two
 // of four, and one answer in foreignPeriod.
 const (
@@ -57,13 +51,13 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
-		id := r.Header.Get("Request-Id")
+		id := r.Header.Get(names.RequestID)
 		body := fmt.Sprintf("account of %s for %s", r.Header.Get("Tenant"), id)
 		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Seal: seal-%s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", id, id, len(body), body)
 		f.record.printf("runner %s runs %s of tenant %s", f.id, id, r.Header.Get("Tenant"))
 		if f.answers.Add(1)%foreignPeriod == 0 && f.faulty && previous != "" {
 			f.record.printf("runner %s first writes its previous answer on this channel a second time, with a wrong byte", f.id)
-			_, _ = io.WriteString(c, strings.Replace(previous, "Request-Id", "Reqiest-Id", 1))
+			_, _ = io.WriteString(c, strings.Replace(previous, names.RequestID, "Reqiest-Id", 1))
 		}
 		if _, err := io.WriteString(c, answer); err != nil {
 			return
@@ -82,7 +76,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	err = s.start(2, func() error {
-		if err := s.configure(foreignConfiguration); err != nil {
+		if err := s.configure("foreign_answer"); err != nil {
 			return err
 		}
 		for i := range foreignRunners {
@@ -124,8 +118,8 @@
 		return "", 0, err
 	}
 	request.Host = "desk.example"
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("Deadline-Remaining", "3000")
+	request.Header.Set(names.RequestID, id)
+	request.Header.Set(names.Remaining, "3000")
 	request.Header.Set("Key", key)
 	r, err := client.Do(request)
 	if err != nil {
--- a/review/standin3/late_order.go
+++ b/review/standin3/late_order.go
@@ -11,11 +11,6 @@
 	"time"
 )
 
-const lateConfiguration = `{"Version":1,"Routes":[{"Name":"account","Host":"desk.example","PathPrefix":"/account/","RouteType":"idempotent","TimeoutMs":1500,` +
-	`"TargetLatencyMs":300,"Priority":2,"Service":"desk","MaxAttempts":2,"Public":true,"SessionAffinity":false,"StreamResume":false,"TargetGapMs":0}],` +
-	`"Services":[{"Name":"desk","HealthPath":"/health","MaxConnections":470,"Protocol":"h1","Tls":false}],` +
-	`"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Tenants":[]}`
-
 // The bounds are those of demands/sumbangan-kl-grown.toml. The freeze is shorter than on its days.
 const (
 	evacuatedZones = 2
@@ -43,13 +38,13 @@
 	if misdirected(w, r, p.id) {
 		return
 	}
-	id := r.Header.Get("Request-Id")
+	id := r.Header.Get(names.RequestID)
 	p.mu.Lock()
 	p.runs++
 	p.mu.Unlock()
 	p.record.printf("runner %s in %s runs %s", p.id, p.zone, id)
-	w.Header().Set("Request-Id", id)
-	w.Header().Set("Server-Seal", "seal-"+id)
+	w.Header().Set(names.RequestID, id)
+	w.Header().Set(names.Seal, "seal-"+id)
 	_, _ = io.WriteString(w, "account for "+id)
 }
 
@@ -91,7 +86,7 @@
 	defer cancel()
 	var runners []*placedRunner
 	err = s.start(2, func() error {
-		if err := s.configure(lateConfiguration); err != nil {
+		if err := s.configure("late_order"); err != nil {
 			return err
 		}
 		for i, zone := range zones {
--- a/review/standin3/many_parts.go
+++ b/review/standin3/many_parts.go
@@ -11,12 +11,6 @@
 	"time"
 )
 
-const manyConfiguration = `{"Version":1,"Routes":[{"Name":"notice","Host":"notice.example","PathPrefix":"/notice/","RouteType":"streaming","TimeoutMs":8000,` +
-	`"TargetLatencyMs":1900,"Priority":0,"Service":"llm","MaxAttempts":1,"Public":true,"SessionAffinity":true,"StreamResume":false,"TargetGapMs":500}],` +
-	`"Services":[{"Name":"llm","HealthPath":"/health","MaxConnections":620,"Protocol":"h1","Tls":false,"Engine":{"Slots":128,"KvCapacityTokens":262108,` +
-	`"KvTokenBytes":131072,"LinkMbps":550000,"Moves":false,"Backups":false,"Stride":3,"Models":[{"Name":"m"}]}}],` +
-	`"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Tenants":[]}`
-
 // The load of this case. One caller sends prompts of many parts, whose heads stay inside MaxHeaderBytes; ordinary callers send prompts of
 // three parts.
 const (
@@ -43,9 +37,9 @@
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	s.runs.Add(1)
-	id := r.Header.Get("Request-Id")
-	w.Header().Set("Request-Id", id)
-	w.Header().Set("Server-Seal", "seal-"+id)
+	id := r.Header.Get(names.RequestID)
+	w.Header().Set(names.RequestID, id)
+	w.Header().Set(names.Seal, "seal-"+id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	for event := 1; event <= 2; event++ {
 		time.Sleep(20 * time.Millisecond)
@@ -64,7 +58,7 @@
 	defer cancel()
 	var runs atomic.Int64
 	err = s.start(2, func() error {
-		if err := s.configure(manyConfiguration); err != nil {
+		if err := s.configure("many_parts"); err != nil {
 			return err
 		}
 		for i := range manyRunners {
@@ -129,11 +123,11 @@
 		return 0, err.Error()
 	}
 	request.Host = "notice.example"
-	request.Header.Set("Request-Id", id)
+	request.Header.Set(names.RequestID, id)
 	request.Header.Set("Model", "m")
-	request.Header.Set("Token-Usage", fmt.Sprintf("%d,30", tokens))
-	request.Header.Set("Prompt-Prefix", prefix)
-	request.Header.Set("Deadline-Remaining", "8000")
+	request.Header.Set(names.Tokens, fmt.Sprintf("%d,30", tokens))
+	request.Header.Set(names.Prefix, prefix)
+	request.Header.Set(names.Remaining, "8000")
 	started := time.Now()
 	r, err := client.Do(request)
 	if err != nil {
--- a/review/standin3/many_pieces.go
+++ b/review/standin3/many_pieces.go
@@ -32,20 +32,6 @@
 	watchPeriod   = 10 * time.Millisecond
 )
 
-const piecesConfiguration = `{"Version":1,"Routes":[{"Name":"notice","Host":"notice.example","PathPrefix":"/notice/","RouteType":"streaming","TimeoutMs":8000,` +
-	`"TargetLatencyMs":2200,"Priority":0,"Service":"llm","MaxAttempts":1,"Public":true,"SessionAffinity":true,"StreamResume":false,"TargetGapMs":600,` +
-	`"Stages":[{"Service":"notice-board","After":[],"Bytes":8000},{"Service":"crew-roster","After":[0],"Bytes":6000}]},` +
-	`{"Name":"account","Host":"desk.example","PathPrefix":"/account/","RouteType":"idempotent","TimeoutMs":1500,` +
-	`"TargetLatencyMs":600,"Priority":2,"Service":"desk","MaxAttempts":1,"Public":true,"SessionAffinity":false,"StreamResume":false,"TargetGapMs":0}],` +
-	`"Services":[{"Name":"llm","HealthPath":"/health","MaxConnections":1900,"Protocol":"h1","Tls":false,"Engine":{"Slots":24,"KvCapacityTokens":229435,` +
-	`"KvTokenBytes":131072,"LinkMbps":550000,"Moves":false,"Backups":false,"Stride":6,"Models":[{"Name":"m"}]}},` +
-	`{"Name":"desk","HealthPath":"/health","MaxConnections":1800,"Protocol":"h1","Tls":false},` +
-	`{"Name":"notice-board","HealthPath":"/health","MaxConnections":1900,"Protocol":"h1","Tls":false,` +
-	`"Pieces":{"Slots":1,"Queue":2,"Batch":40,"CallMs":150,"ItemMs":3.2,"HeadroomMb":7,"HandleS":4,"LinkMbps":10000}},` +
-	`{"Name":"crew-roster","HealthPath":"/health","MaxConnections":1900,"Protocol":"h1","Tls":false,` +
-	`"Pieces":{"Slots":1,"Queue":2,"Batch":68,"CallMs":150,"ItemMs":1.9,"HeadroomMb":1.2,"HandleS":4,"LinkMbps":10000}}],` +
-	`"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Tenants":[]}`
-
 // pieceRunner is a sound runner of a stage.
 type pieceRunner struct {
 	record  *record
@@ -61,7 +47,7 @@
 		return
 	}
 	items, size := countItems(r.Body)
-	if r.URL.Path != "/stage-run" {
+	if r.URL.Path != names.Run {
 		return
 	}
 	p.turn.Lock()
@@ -103,11 +89,11 @@
 	if misdirected(w, r, d.id) {
 		return
 	}
-	id := r.Header.Get("Request-Id")
+	id := r.Header.Get(names.RequestID)
 	d.runs.Store(id, true)
 	time.Sleep(deskTime)
-	w.Header().Set("Request-Id", id)
-	w.Header().Set("Server-Seal", "seal-"+id)
+	w.Header().Set(names.RequestID, id)
+	w.Header().Set(names.Seal, "seal-"+id)
 	_, _ = io.WriteString(w, "account for "+id)
 }
 
@@ -216,7 +202,7 @@
 
 // startPieceRunners submits the configuration and starts the runners.
 func (s *system) startPieceRunners(ctx context.Context, desk *deskRunner, model *shortStream) error {
-	if err := s.configure(piecesConfiguration); err != nil {
+	if err := s.configure("many_pieces"); err != nil {
 		return err
 	}
 	if _, err := s.startRunner(ctx, 0, model.id, "llm", zones[0], model); err != nil {
@@ -244,8 +230,8 @@
 	request, _ := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d/notice/1", front.ip, s.port+routesPort), strings.NewReader("prompt"))
 	request.Host = "notice.example"
 	for name, value := range map[string]string{
-		"Request-Id": "huge-1", "Model": "m", "Token-Usage": "100,30", "Prompt-Prefix": "5c1e07a2:100", "Deadline-Remaining": "8000",
-		"Piece-Count": hugePieces, "Piece-Key": "7c1e07a291bd",
+		names.RequestID: "huge-1", "Model": "m", names.Tokens: "100,30", names.Prefix: "5c1e07a2:100", names.Remaining: "8000",
+		names.Pieces: hugePieces, names.PieceKey: "7c1e07a291bd",
 	} {
 		request.Header.Set(name, value)
 	}
--- a/review/standin3/reused_handle.go
+++ b/review/standin3/reused_handle.go
@@ -13,17 +13,6 @@
 	"time"
 )
 
-const reusedConfiguration = `{"Version":1,"Routes":[{"Name":"notice","Host":"notice.example","PathPrefix":"/notice/","RouteType":"streaming","TimeoutMs":8000,` +
-	`"TargetLatencyMs":1900,"Priority":0,"Service":"llm","MaxAttempts":1,"Public":true,"SessionAffinity":true,"StreamResume":false,"TargetGapMs":500,` +
-	`"Stages":[{"Service":"feed","After":[],"Bytes":8000},{"Service":"roster","After":[0],"Bytes":6000}]}],` +
-	`"Services":[{"Name":"llm","HealthPath":"/health","MaxConnections":620,"Protocol":"h1","Tls":false,"Engine":{"Slots":128,"KvCapacityTokens":262108,` +
-	`"KvTokenBytes":131072,"LinkMbps":550000,"Moves":false,"Backups":false,"Stride":3,"Models":[{"Name":"m"}]}},` +
-	`{"Name":"feed","HealthPath":"/health","MaxConnections":620,"Protocol":"h1","Tls":false,` +
-	`"Pieces":{"Slots":1,"Queue":2,"Batch":8,"CallMs":150,"ItemMs":16,"HeadroomMb":36,"HandleS":4,"LinkMbps":10000}},` +
-	`{"Name":"roster","HealthPath":"/health","MaxConnections":620,"Protocol":"h1","Tls":false,` +
-	`"Pieces":{"Slots":1,"Queue":2,"Batch":4,"CallMs":700,"ItemMs":30,"HeadroomMb":36,"HandleS":4,"LinkMbps":10000}}],` +
-	`"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Tenants":[]}`
-
 // The runner of the first stage is down for reusedDown. The next request comes reusedLater after it is back.
 const (
 	reusedWaiting = 6
@@ -79,7 +68,7 @@
 		return
 	}
 	store := c.store.Load()
-	if r.URL.Path == "/stage-free" {
+	if r.URL.Path == names.Free {
 		store.mu.Lock()
 		defer store.mu.Unlock()
 		for _, h := range call.Handles {
@@ -142,7 +131,7 @@
 	boot, crash := context.WithCancel(ctx)
 	defer crash()
 	err = s.start(2, func() error {
-		if err := s.configure(reusedConfiguration); err != nil {
+		if err := s.configure("reused_handle"); err != nil {
 			return err
 		}
 		if _, err := s.startRunner(ctx, 0, "i-llm", "llm", zones[0], &shortStream{id: "i-llm", runs: &atomic.Int64{}}); err != nil {
@@ -187,8 +176,8 @@
 	request, _ := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d/notice/1", front.ip, s.port+routesPort), strings.NewReader("prompt of "+id))
 	request.Host = "notice.example"
 	for name, value := range map[string]string{
-		"Request-Id": id, "Model": "m", "Token-Usage": "100,30", "Prompt-Prefix": "5c1e07a2:100", "Deadline-Remaining": "8000",
-		"Piece-Count": counts, "Piece-Key": "key-" + id,
+		names.RequestID: id, "Model": "m", names.Tokens: "100,30", names.Prefix: "5c1e07a2:100", names.Remaining: "8000",
+		names.Pieces: counts, names.PieceKey: "key-" + id,
 	} {
 		request.Header.Set(name, value)
 	}
--- a/review/standin3/runner.go
+++ b/review/standin3/runner.go
@@ -69,15 +69,15 @@
 		"Stage": "colocated", "Models": []map[string]any{{"Name": "m", "Version": 1, "Adapters": []string{}}}, "Seq": w.seq, "born": w.born,
 	})
 	w.mu.Unlock()
-	_, _ = w.system.call(http.MethodPut, "/instances/"+w.id, body)
+	_, _ = w.system.call(http.MethodPut, names.Instances+w.id, body)
 }
 
 // misdirected answers a request that names another runner, and reports whether it did.
 func misdirected(w http.ResponseWriter, r *http.Request, id string) bool {
-	if target := r.Header.Get("Target-Instance"); target == "" || target == id {
+	if target := r.Header.Get(names.Target); target == "" || target == id {
 		return false
 	}
-	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
 	w.WriteHeader(http.StatusMisdirectedRequest)
 	return true
 }
--- a/review/standin3/silent_stream.go
+++ b/review/standin3/silent_stream.go
@@ -22,15 +22,8 @@
 	silentPauseAfter = 5
 	silentPause      = 1300 * time.Millisecond
 	silentStopAfter  = 300 * time.Millisecond
-	silentGapMs      = 500
 )
 
-const silentConfiguration = `{"Version":1,"Routes":[{"Name":"chat","Host":"chat.example","PathPrefix":"/chat/","RouteType":"streaming","TimeoutMs":15000,` +
-	`"TargetLatencyMs":1900,"Priority":0,"Service":"llm","MaxAttempts":2,"Public":true,"SessionAffinity":true,"StreamResume":true,"TargetGapMs":%d}],` +
-	`"Services":[{"Name":"llm","HealthPath":"/health","MaxConnections":620,"Protocol":"h1","Tls":false,"Engine":{"Slots":128,"KvCapacityTokens":262108,` +
-	`"KvTokenBytes":131072,"LinkMbps":550000,"Moves":false,"Backups":false,"Stride":3,"Models":[{"Name":"m"}]}}],` +
-	`"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Tenants":[]}`
-
 // silentRun is what the runner knows of one request.
 type silentRun struct {
 	events   int
@@ -54,7 +47,7 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
-	id := r.Header.Get("Request-Id")
+	id := r.Header.Get(names.RequestID)
 	run := &silentRun{}
 	s.mu.Lock()
 	s.runs[id] = run
@@ -64,8 +57,8 @@
 		first = last + 1
 	}
 	s.record.printf("runner %s begins request %s at event %d", s.id, id, first)
-	w.Header().Set("Request-Id", id)
-	w.Header().Set("Server-Seal", "seal-"+id)
+	w.Header().Set(names.RequestID, id)
+	w.Header().Set(names.Seal, "seal-"+id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	for event := first; event <= silentEvents; event++ {
@@ -101,7 +94,7 @@
 		s.mu.Lock()
 		run.cutBy, run.ended = "the system", time.Now()
 		s.mu.Unlock()
-		s.record.printf("runner %s: the system closed the channel of request %s after event %d", s.id, r.Header.Get("Request-Id"), run.events)
+		s.record.printf("runner %s: the system closed the channel of request %s after event %d", s.id, r.Header.Get(names.RequestID), run.events)
 		return false
 	}
 }
@@ -117,7 +110,7 @@
 	defer cancel()
 	model := &silentRunner{record: rec, id: "i-1", pause: trouble, runs: make(map[string]*silentRun)}
 	err = s.start(2, func() error {
-		if err := s.configure(fmt.Sprintf(silentConfiguration, silentGapMs)); err != nil {
+		if err := s.configure("silent_stream"); err != nil {
 			return err
 		}
 		_, err := s.startRunner(ctx, 1, model.id, "llm", zones[0], model)
@@ -168,11 +161,11 @@
 		return err
 	}
 	request.Host = "chat.example"
-	request.Header.Set("Request-Id", id)
+	request.Header.Set(names.RequestID, id)
 	request.Header.Set("Model", "m")
-	request.Header.Set("Token-Usage", "300,36")
-	request.Header.Set("Prompt-Prefix", "5c1e07a2:200,"+strconv.FormatInt(time.Now().UnixNano(), 16)+":100")
-	request.Header.Set("Deadline-Remaining", "15000")
+	request.Header.Set(names.Tokens, "300,36")
+	request.Header.Set(names.Prefix, "5c1e07a2:200,"+strconv.FormatInt(time.Now().UnixNano(), 16)+":100")
+	request.Header.Set(names.Remaining, "15000")
 	s.record.printf("consumer sends %s to %s", id, front.name)
 	r, err := client.Do(request)
 	if err != nil {
--- a/review/standin3/system.go
+++ b/review/standin3/system.go
@@ -261,11 +261,15 @@
 	return r.StatusCode, err
 }
 
-// configure submits a configuration until it is accepted.
-func (s *system) configure(text string) error {
+// configure submits the configuration of a case until it is accepted.
+func (s *system) configure(name string) error {
+	text, err := configurations.ReadFile("configurations/" + name + ".json")
+	if err != nil {
+		return err
+	}
 	var last error
 	for end := time.Now().Add(startPeriod); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
-		v, err := s.call(http.MethodPut, "/config", []byte(text))
+		v, err := s.call(http.MethodPut, "/config", text)
 		if err == nil {
 			s.record.printf("the configuration was acknowledged by %s", v.name)
 			return nil
