--- a/review/standin3/system.go
+++ b/review/standin3/system.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strings"
@@ -79,12 +80,24 @@
 		s.network = fmt.Sprintf("127.%d.%d", 60+rand.IntN(150), 1+rand.IntN(250))
 		s.port = 20000 + 10*rand.IntN(1000)
 		if s.free() {
+			s.stopOnSignal()
 			return s, nil
 		}
 	}
 	return nil, errors.New("no free addresses")
 }
 
+// stopOnSignal ends all processes and exits with 2 if this process is to end before the case has.
+func (s *system) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		s.record.printf("could not run: %v", <-signals)
+		s.stop()
+		os.Exit(2)
+	}()
+}
+
 // free reports whether the ports of the first addresses can be used.
 func (s *system) free() bool {
 	for _, port := range []int{s.port, s.port + linkPort, s.port + controlPort, 9464} {
