--- a/review/standin3/many_parts.go
+++ b/review/standin3/many_parts.go
@@ -25,10 +25,14 @@
 	answerSlack      = 500 * time.Millisecond
 )
 
-// shortStream answers each request with a stream of two events.
+// promptTime is how long a long prompt is read.
+const promptTime = 2 * time.Second
+
+// shortStream answers each request with a stream of two events. Requests below longPrompts have a long prompt.
 type shortStream struct {
-	id   string
-	runs *atomic.Int64
+	id          string
+	runs        *atomic.Int64
+	longPrompts string
 }
 
 func (s *shortStream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -37,6 +41,9 @@
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	s.runs.Add(1)
+	if s.longPrompts != "" && strings.HasPrefix(r.URL.Path, s.longPrompts) {
+		time.Sleep(promptTime)
+	}
 	id := r.Header.Get(names.RequestID)
 	w.Header().Set(names.RequestID, id)
 	w.Header().Set(names.Seal, "seal-"+id)
